platform: thin path for a gateway host on the users' platform

A gateway host takes routes, keys, targets and evacuated zones from the platform's store and sends to targets of any region. Not measured yet.

--- a/cmd/gypsumd/cmds/run.go
+++ b/cmd/gypsumd/cmds/run.go
@@ -32,6 +32,7 @@
 // arguments is the command line.
 type arguments struct {
 	Settings string `arg:"positional,required" placeholder:"SETTINGS" help:"the settings file, JSON with comments"`
+	Gateway  bool   `arg:"--gateway" help:"run a gateway host on the platform; the file holds its settings"`
 	Check    bool   `arg:"--check" help:"check the settings file, tell all its faults, and end"`
 	Log      bool   `arg:"--log" help:"log on standard error, whatever the settings say"`
 	// LogOutput replaces the settings' list.
@@ -75,6 +76,9 @@
 		say(stderr, "error: ", err)
 		return ExitUsage
 	}
+	if a.Gateway {
+		return runGateway(a, signals, stdout, stderr)
+	}
 	s, err := load(a.Settings)
 	if err != nil {
 		sayFaults(stderr, a.Settings, err)
--- /dev/null
+++ b/pkg/gatewaysettings/gatewaysettings.go
@@ -0,0 +1,140 @@
+// Package gatewaysettings reads the settings file of a gateway host, which is
+// JSON with comments.
+package gatewaysettings
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"gypsumbeam.example/gypsumbeam/pkg/decoder"
+	"gypsumbeam.example/gypsumbeam/pkg/ids"
+)
+
+// Settings is what one gateway host has to know to start.
+type Settings struct {
+	Name   string     `json:"name"`
+	Zone   ids.Zone   `json:"zone"`
+	Region ids.Region `json:"region"`
+	Listen Addresses  `json:"listen"`
+	// Store is the address of the platform's store.
+	Store string `json:"store"`
+	// Zones holds every availability zone with its region.
+	Zones []Zone `json:"zones"`
+	// Metrics is the address at which the host serves its metrics; empty means
+	// that it does not.
+	Metrics string `json:"metrics,omitempty"`
+	Bounds  Bounds `json:"bounds"`
+}
+
+// Addresses holds an address for each kind of peer, as IP number and port.
+type Addresses struct {
+	Callers   string `json:"callers"`
+	Lookups   string `json:"lookups"`
+	Readiness string `json:"readiness"`
+	Siblings  string `json:"siblings"`
+}
+
+// Zone is an availability zone.
+type Zone struct {
+	Zone   ids.Zone   `json:"zone"`
+	Region ids.Region `json:"region"`
+}
+
+// Bounds are what the operators demand. Times are texts such as "1500ms".
+type Bounds struct {
+	// Revoke is the time in which a key that was taken away stops working.
+	Revoke string `json:"revoke"`
+	// Grace is the time from the signal to stop until the process is killed.
+	Grace string `json:"grace"`
+	// LookupTTL is the longest that callers keep the answer of a look-up.
+	LookupTTL string `json:"lookupTtl"`
+	// RetryRatio is the share of a service's requests that may be sent again.
+	RetryRatio float64 `json:"retryRatio"`
+}
+
+// The defaults of empty bounds.
+const (
+	defaultRevoke     = 5 * time.Second
+	defaultGrace      = 6 * time.Second
+	defaultLookupTTL  = 2 * time.Second
+	defaultRetryRatio = 0.1
+)
+
+// Parse reads and checks a settings file. Its error is a *decoder.ErrFaults
+// with all faults at once.
+func Parse(b []byte) (*Settings, error) {
+	d := decoder.New(b)
+	s := &Settings{}
+	if d.Decode(s) {
+		s.check(d)
+	}
+	if err := d.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Settings) check(d *decoder.Decoder) {
+	if s.Region == "" {
+		d.Fault("region", "the host's region is needed")
+	}
+	if s.Zone == "" {
+		d.Fault("zone", "the host's availability zone is needed")
+	}
+	for _, a := range []struct{ path, address string }{
+		{"listen.callers", s.Listen.Callers},
+		{"listen.lookups", s.Listen.Lookups},
+		{"listen.readiness", s.Listen.Readiness},
+		{"listen.siblings", s.Listen.Siblings},
+		{"store", s.Store},
+	} {
+		if p, err := netip.ParseAddrPort(a.address); err != nil || p.Port() == 0 {
+			d.Fault(a.path, fmt.Sprintf("%q is no IP number and port such as \"10.1.2.3:8080\"", a.address))
+		}
+	}
+	for _, t := range []struct{ path, text string }{
+		{"bounds.revoke", s.Bounds.Revoke},
+		{"bounds.grace", s.Bounds.Grace},
+		{"bounds.lookupTtl", s.Bounds.LookupTTL},
+	} {
+		if v, err := time.ParseDuration(t.text); t.text != "" && (err != nil || v <= 0) {
+			d.Fault(t.path, fmt.Sprintf("%q is no time such as \"1500ms\"", t.text))
+		}
+	}
+}
+
+// duration returns a checked time, or its default.
+func duration(text string, other time.Duration) time.Duration {
+	if v, err := time.ParseDuration(text); err == nil && v > 0 {
+		return v
+	}
+	return other
+}
+
+// Revoke returns the time in which a withdrawn key stops working.
+func (b Bounds) RevokeTime() time.Duration { return duration(b.Revoke, defaultRevoke) }
+
+// GraceTime returns the time that a graceful stop may take.
+func (b Bounds) GraceTime() time.Duration { return duration(b.Grace, defaultGrace) }
+
+// LookupTime returns how long callers may keep the answer of a look-up.
+func (b Bounds) LookupTime() time.Duration { return duration(b.LookupTTL, defaultLookupTTL) }
+
+// Ratio returns the share of requests that may be sent again.
+func (b Bounds) Ratio() float64 {
+	if b.RetryRatio > 0 {
+		return b.RetryRatio
+	}
+	return defaultRetryRatio
+}
+
+// Regions returns the region of each availability zone.
+func (s *Settings) Regions() map[ids.Zone]ids.Region {
+	m := make(map[ids.Zone]ids.Region, len(s.Zones))
+	for _, z := range s.Zones {
+		m[z.Zone] = z.Region
+	}
+	m[s.Zone] = s.Region
+	return m
+}
--- /dev/null
+++ b/service/gatewayhost/feed.go
@@ -0,0 +1,53 @@
+package gatewayhost
+
+import (
+	"github.com/apex/log"
+
+	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/lister"
+	"gypsumbeam.example/gypsumbeam/pkg/registrar"
+	"gypsumbeam.example/gypsumbeam/pkg/router"
+)
+
+// SetDocument puts a version of the operators' document in force.
+func (h *Host) SetDocument(d router.Document) {
+	for _, s := range d.Services {
+		h.placer.SetColdRate(s.Name, s.ColdRate)
+	}
+	h.router.Store(router.New(d))
+	h.log.WithFields(log.Fields{"version": d.Version, "routes": len(d.Routes)}).Info("configuration in force")
+}
+
+// SetTargets replaces all registered targets.
+func (h *Host) SetTargets(all []registrar.Target, afterOutage bool) {
+	h.registrar.Replace(all, afterOutage)
+	h.log.WithFields(log.Fields{"targets": len(all), "afterOutage": afterOutage}).Info("targets read")
+}
+
+// PutTarget takes one registration.
+func (h *Host) PutTarget(t registrar.Target) {
+	h.registrar.Put(t)
+	h.log.WithFields(log.Fields{
+		"target": string(t.ID), "service": string(t.Service), "draining": t.Draining,
+	}).Info("target registered")
+}
+
+// RemoveTarget forgets a target that left.
+func (h *Host) RemoveTarget(id ids.Target) {
+	h.registrar.Remove(id)
+	h.log.WithField("target", string(id)).Info("target gone")
+}
+
+// SetEvacuated replaces the zones whose targets get nothing.
+func (h *Host) SetEvacuated(zones map[ids.Zone]bool) {
+	h.placer.SetEvacuated(zones)
+	for z := range zones {
+		h.log.WithField("zone", string(z)).Info("zone evacuated")
+	}
+}
+
+// SetHosts replaces the entry hosts that are registered.
+func (h *Host) SetHosts(all []lister.Host) {
+	h.lister.SetHosts(all)
+	h.log.WithField("hosts", len(all)).Info("hosts read")
+}
--- /dev/null
+++ b/service/gatewayhost/host.go
@@ -0,0 +1,173 @@
+// Package gatewayhost wires the parts of one gateway host together: it takes
+// what the platform tells, and serves callers by it.
+package gatewayhost
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"gypsumbeam.example/gypsumbeam/pkg/allotter"
+	"gypsumbeam.example/gypsumbeam/pkg/confirmer"
+	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/lister"
+	"gypsumbeam.example/gypsumbeam/pkg/logflags"
+	"gypsumbeam.example/gypsumbeam/pkg/pipeliner"
+	"gypsumbeam.example/gypsumbeam/pkg/placer"
+	"gypsumbeam.example/gypsumbeam/pkg/registrar"
+	"gypsumbeam.example/gypsumbeam/pkg/retrier"
+	"gypsumbeam.example/gypsumbeam/pkg/router"
+	"gypsumbeam.example/gypsumbeam/service/gateway"
+	"gypsumbeam.example/gypsumbeam/service/targets"
+)
+
+const (
+	// keyMargin is what a confirmation must be younger than a withdrawn key may
+	// still work, for the time between the check and the send.
+	keyMargin = 600 * time.Millisecond
+	// tickInterval is the time between two rounds of upkeep.
+	tickInterval = 100 * time.Millisecond
+	// acceptTime is how long a leaving host takes new requests, by which callers
+	// have asked anew where to connect.
+	acceptTime = 2500 * time.Millisecond
+	// stopMargin is left of the grace for the end of the process.
+	stopMargin = 500 * time.Millisecond
+	// targetIdle is how long a connection to a target is kept unused. Targets
+	// close them after some 10 s, and may forget them sooner.
+	targetIdle = 4 * time.Second
+	// targetConnect bounds the opening of a connection to a target.
+	targetConnect = 400 * time.Millisecond
+	// targetConnections bounds the connections of this host to one target.
+	targetConnections = 32
+)
+
+// Config holds what a Host needs. All fields are required.
+type Config struct {
+	Self    lister.Host
+	Regions map[ids.Zone]ids.Region
+	// Headers speaks the header fields of callers and targets.
+	Headers gateway.Headers
+	// Confirmer holds the proof that the configuration is the newest.
+	Confirmer *confirmer.Confirmer
+	// Revoke is the time in which a withdrawn key stops working, and Grace the
+	// time that a graceful stop may take.
+	Revoke, Grace time.Duration
+	// RetryRatio is the share of requests that may be sent again.
+	RetryRatio float64
+}
+
+// Host is one gateway host. Its feed methods may be called before Start.
+type Host struct {
+	cfg       Config
+	log       log.Interface
+	router    atomic.Pointer[router.Router]
+	registrar registrar.Registrar
+	placer    *placer.Placer
+	lister    *lister.Lister
+	allotter  allotter.Allotter
+	budget    retrier.Budget
+	sender    *targets.Sender
+	handler   *gateway.Handler
+	server    *pipeliner.Server
+	recorder  *recorder
+	leaving   atomic.Bool
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+}
+
+// New returns a Host that has not started.
+func New(cfg Config) *Host {
+	h := &Host{cfg: cfg, log: logflags.Logger(logflags.EntryHost), lister: &lister.Lister{}}
+	h.placer = placer.New(placer.Config{Zone: cfg.Self.Zone, Regions: cfg.Regions, ColdShare: h.share})
+	h.registrar.Changed = h.placer.SetTargets
+	h.allotter.Share = h.share
+	h.sender = targets.New(targets.Config{
+		ConnectTimeout: targetConnect, IdleTimeout: targetIdle, Connections: targetConnections, Untimed: true,
+	})
+	h.recorder = newRecorder()
+	h.handler = gateway.New(gateway.Config{
+		Headers: cfg.Headers, Routes: h, Confirmer: cfg.Confirmer, Placer: h.placer, Quota: &h.allotter,
+		Sender: h.sender, Budget: &h.budget, Recorder: h.recorder,
+		KeyBound: cfg.Revoke - keyMargin, RetryRatio: cfg.RetryRatio,
+	})
+	h.server = pipeliner.New(pipeliner.Config{Handler: h.handler, Bounds: h.bounds})
+	return h
+}
+
+// Router implements gateway.Routes.
+func (h *Host) Router() *router.Router { return h.router.Load() }
+
+// share returns this host's part of what all hosts may do together.
+func (h *Host) share() float64 { return 1 / float64(max(len(h.lister.Hosts()), 1)) }
+
+func (h *Host) bounds() pipeliner.Bounds {
+	r := h.router.Load()
+	if r == nil {
+		return pipeliner.Bounds{}
+	}
+	return pipeliner.Bounds{
+		HeadBytes: r.Limits.MaxHeaderBytes, Header: r.Limits.HeaderTimeout, Idle: r.Limits.IdleTimeout,
+	}
+}
+
+// Start serves callers on l.
+func (h *Host) Start(l net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	h.running.Go(func() { h.server.Serve(l) })
+	h.running.Go(func() { h.upkeep(ctx) })
+	h.log.WithFields(log.Fields{
+		"name": h.cfg.Self.Callers, "zone": string(h.cfg.Self.Zone), "instance": string(h.cfg.Self.Instance),
+	}).Info("started")
+}
+
+// upkeep does what is due without a request.
+func (h *Host) upkeep(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			h.registrar.Expire()
+			h.lister.SetSelf(h.cfg.Self.Callers, h.Ready())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Ready reports whether this host takes callers.
+func (h *Host) Ready() bool {
+	age, ok := h.cfg.Confirmer.Age()
+	return !h.leaving.Load() && h.router.Load() != nil && ok && age < h.cfg.Revoke-keyMargin
+}
+
+// Lister returns what look-ups are answered from.
+func (h *Host) Lister() *lister.Lister { return h.lister }
+
+// Stop ends the host gracefully: callers go elsewhere, what is in progress is
+// finished, and the rest is cut when the grace is over.
+func (h *Host) Stop() {
+	h.log.Info("leaving")
+	end := time.Now().Add(h.cfg.Grace - stopMargin)
+	h.leaving.Store(true)
+	h.lister.SetSelf(h.cfg.Self.Callers, false)
+	h.handler.Leave()
+	time.Sleep(acceptTime)
+	h.handler.Refuse()
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	err := h.server.Drain(ctx)
+	h.server.Close()
+	h.cancel()
+	h.running.Wait()
+	h.sender.Close()
+	h.log.WithField("clean", err == nil).Info("stopped")
+}
+
+// Self returns what this host tells of itself.
+func (h *Host) Self() lister.Host { return h.cfg.Self }
--- a/service/targets/sender.go
+++ b/service/targets/sender.go
@@ -42,6 +42,8 @@
 	// Connections bounds the connections from this host to one target that
 	// Configure has not named.
 	Connections int
+	// Untimed leaves HeaderTimeout out: the time left is told in another field.
+	Untimed bool
 }
 
 // Sender sends requests to targets over connections that it keeps. Its methods
@@ -170,7 +172,7 @@
 // been written to a first. The Trace is right whether or not there is an error.
 //
 // r's header must be free of keys and hop-by-hop fields. Send sets HeaderTimeout
-// to the time left until ctx's deadline. When ctx ends the connection is
+// to the time left until ctx's deadline unless the Sender is Untimed. When ctx ends the connection is
 // closed, by which the target learns that it may stop.
 func (s *Sender) Send(ctx context.Context, address string, r *http.Request) (*http.Response, Trace, error) {
 	a := &attempt{}
@@ -181,7 +183,7 @@
 	r.URL.Scheme = "http"
 	r.URL.Host = address
 	r.RequestURI = ""
-	if deadline, ok := ctx.Deadline(); ok {
+	if deadline, ok := ctx.Deadline(); ok && !s.cfg.Untimed {
 		// Rounded up, so that the target does not give up before this host does.
 		left := max(time.Until(deadline)+time.Millisecond-1, 0).Milliseconds()
 		r.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
