service/siblings, pkg/allotter, pkg/placer: hosts tell each other what they do

Ruled out by the log of all requests: an object is warm from the start of its first request on, and stays warm while about 21 (till 14) other objects follow at the target: neither time nor requests in flight explain slow answers. Change: hosts send each other datagrams with their requests at targets, objects, what they admitted, and the age of the proof that the configuration is newest; targets are chosen by expected finish with that; workspaces have one bucket.

--- a/cmd/gypsumd/cmds/gateway.go
+++ b/cmd/gypsumd/cmds/gateway.go
@@ -33,7 +33,11 @@
 		say(stderr, "error: ", err)
 		return ExitUsage
 	}
-	if err := daemon.New(s).Run(signals); err != nil {
+	d, err := daemon.New(s)
+	if err == nil {
+		err = d.Run(signals)
+	}
+	if err != nil {
 		say(stderr, err)
 		return ExitRefused
 	}
--- a/pkg/allotter/allotter.go
+++ b/pkg/allotter/allotter.go
@@ -1,5 +1,8 @@
-// Package allotter holds each workspace to this host's part of its rate and
-// burst, so that all hosts together keep to the whole.
+// Package allotter holds each workspace to its rate and burst over all hosts.
+// Every host keeps the level of the whole bucket, from its own requests and
+// from what the others tell of theirs. While the bucket is nearly empty, a host
+// takes no more than its part of the rate, in proportion to the demand. The
+// parts of hosts that are registered but not heard of stay untouched.
 package allotter
 
 import (
@@ -10,48 +13,235 @@
 	"gypsumbeam.example/gypsumbeam/pkg/router"
 )
 
-// Allotter holds a bucket for each workspace.
+const (
+	// scarceLevel is the part of the burst below which hosts keep to their
+	// parts: above it the lag of what they tell each other does no harm.
+	scarceLevel = 0.5
+	// heardLife is how long a host counts as heard of.
+	heardLife = 600 * time.Millisecond
+	// demandTime is the time over which demand is averaged.
+	demandTime = time.Second
+	// allowanceTime is how much of its part a host may save up.
+	allowanceTime = 300 * time.Millisecond
+	// longestReturn bounds the wait that is told to a refused caller.
+	longestReturn = 5 * time.Second
+)
+
+// Usage is what one host tells of a workspace.
+type Usage struct {
+	Workspace ids.Workspace
+	// Admitted counts the requests that the host has admitted since its start.
+	Admitted uint64
+	// Demand is what callers ask of the host, in requests a second.
+	Demand float64
+}
+
+// Allotter holds a bucket for each workspace. The zero value is ready for a
+// host that is alone, and its methods may be called from several goroutines.
 type Allotter struct {
-	// Share returns this host's part of the limits, above 0 and at most 1.
-	Share func() float64
+	// Members returns how many hosts are registered, this one included. Nil
+	// means one.
+	Members func() int
 
 	mu      sync.Mutex
 	buckets map[ids.Workspace]*bucket
+	// heard holds when each other host was last heard of.
+	heard map[ids.Instance]time.Time
 }
 
-// bucket holds tokens up to at; a request takes one.
+// bucket is the level of a workspace's whole limit, as this host knows it.
 type bucket struct {
 	tokens float64
 	at     time.Time
+	// admitted and demand are this host's own.
+	admitted uint64
+	demand   demand
+	// allowance is what this host may take while tokens are scarce.
+	allowance float64
+	peers     map[ids.Instance]*Usage
+	// returnAt is when the last refused caller was told to come back.
+	returnAt time.Time
+	told     uint64
 }
 
-// Admit takes one request of w. Where the bucket is empty it returns the time
-// until the next token.
-func (a *Allotter) Admit(w *router.Workspace) (time.Duration, bool) {
-	if w.Rate <= 0 {
-		return 0, true
+// demand is a moving average of requests a second.
+type demand struct {
+	rate float64
+	at   time.Time
+}
+
+// add counts one request.
+func (d *demand) add(now time.Time) {
+	d.decay(now)
+	d.rate += 1 / demandTime.Seconds()
+}
+
+func (d *demand) decay(now time.Time) {
+	if dt := now.Sub(d.at); dt > 0 && !d.at.IsZero() {
+		d.rate *= max(1-dt.Seconds()/demandTime.Seconds(), 0)
 	}
-	share := 1.0
-	if a.Share != nil {
-		share = a.Share()
+	d.at = now
+}
+
+// limit is the part of a workspace's limit that the hosts that hear each other
+// may use.
+type limit struct {
+	rate, burst float64
+}
+
+// limit returns the part for this host and those that it hears. The caller
+// holds the lock.
+func (a *Allotter) limit(w *router.Workspace, now time.Time) limit {
+	members := 1
+	if a.Members != nil {
+		members = max(a.Members(), 1)
 	}
-	rate, burst := w.Rate*share, max(w.Burst*share, 1)
-	now := time.Now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	b := a.buckets[w.Name]
+	hears := 1
+	for _, at := range a.heard {
+		if now.Sub(at) < heardLife {
+			hears++
+		}
+	}
+	part := min(float64(hears)/float64(members), 1)
+	return limit{w.Rate * part, max(w.Burst*part, 1)}
+}
+
+// bucket returns the bucket of w, brought to now. The caller holds the lock.
+func (a *Allotter) bucket(name ids.Workspace, l limit, now time.Time) *bucket {
+	b := a.buckets[name]
 	if b == nil {
 		if a.buckets == nil {
 			a.buckets = make(map[ids.Workspace]*bucket)
 		}
-		b = &bucket{tokens: burst, at: now}
-		a.buckets[w.Name] = b
+		// A host that has just started does not know what was used before.
+		b = &bucket{at: now, peers: make(map[ids.Instance]*Usage)}
+		a.buckets[name] = b
 	}
-	b.tokens = min(burst, b.tokens+rate*now.Sub(b.at).Seconds())
+	dt := now.Sub(b.at).Seconds()
 	b.at = now
-	if b.tokens >= 1 {
+	b.tokens = min(l.burst, b.tokens+l.rate*dt)
+	part := l.rate * b.part()
+	b.allowance = min(b.allowance+part*dt, max(part*allowanceTime.Seconds(), 1))
+	return b
+}
+
+// part is this host's part of the demand, above 0 and at most 1.
+func (b *bucket) part() float64 {
+	own := max(b.demand.rate, 0.5)
+	total := own
+	for _, u := range b.peers {
+		total += u.Demand
+	}
+	return own / total
+}
+
+// Ready prepares the bucket of a workspace, so that it is full when its first
+// request comes.
+func (a *Allotter) Ready(w *router.Workspace) {
+	if w.Rate <= 0 {
+		return
+	}
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bucket(w.Name, a.limit(w, now), now)
+}
+
+// Admit takes one request of w. Where it is over the limit, Admit returns the
+// time after which one more caller finds a token.
+func (a *Allotter) Admit(w *router.Workspace) (time.Duration, bool) {
+	if w.Rate <= 0 {
+		return 0, true
+	}
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l := a.limit(w, now)
+	b := a.bucket(w.Name, l, now)
+	b.demand.add(now)
+	scarce := b.tokens < l.burst*scarceLevel
+	if b.tokens >= 1 && (!scarce || b.allowance >= 1) {
 		b.tokens--
+		b.allowance = max(b.allowance-1, 0)
+		b.admitted++
 		return 0, true
 	}
-	return time.Duration((1 - b.tokens) / rate * float64(time.Second)), false
+	return b.nextReturn(l, now), false
+}
+
+// nextReturn gives each refused caller a time of its own, at the rate at which
+// tokens come. The caller holds the lock.
+func (b *bucket) nextReturn(l limit, now time.Time) time.Duration {
+	rate := max(l.rate*b.part(), 0.1)
+	gap := time.Duration(float64(time.Second) / rate)
+	debt := time.Duration(max(1-b.tokens, 0) / l.rate * float64(time.Second))
+	first := now.Add(max(gap, debt))
+	if b.returnAt.Before(first) {
+		b.returnAt = first
+	} else {
+		b.returnAt = b.returnAt.Add(gap)
+	}
+	if wait := b.returnAt.Sub(now); wait < longestReturn {
+		return wait
+	}
+	b.returnAt = now.Add(longestReturn)
+	return longestReturn
+}
+
+// Usages returns what this host has to tell, of the workspaces that were used
+// since the last call or still are.
+func (a *Allotter) Usages() []Usage {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var all []Usage
+	for name, b := range a.buckets {
+		b.demand.decay(now)
+		if b.admitted == 0 && b.demand.rate == 0 {
+			continue
+		}
+		all = append(all, Usage{name, b.admitted, b.demand.rate})
+	}
+	return all
+}
+
+// Absorb takes what another host told of its use.
+func (a *Allotter) Absorb(peer ids.Instance, usages []Usage) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.heard == nil {
+		a.heard = make(map[ids.Instance]time.Time)
+	}
+	_, known := a.heard[peer]
+	a.heard[peer] = now
+	for _, u := range usages {
+		b := a.buckets[u.Workspace]
+		if b == nil {
+			continue
+		}
+		last := b.peers[peer]
+		switch {
+		case last != nil && u.Admitted > last.Admitted:
+			b.tokens -= float64(u.Admitted - last.Admitted)
+		case last == nil && known:
+			b.tokens -= float64(u.Admitted)
+		}
+		b.peers[peer] = &Usage{u.Workspace, u.Admitted, u.Demand}
+	}
+	a.forget(now)
+}
+
+// forget drops the hosts that have not been heard of for long.
+func (a *Allotter) forget(now time.Time) {
+	const forgetTime = 20 * heardLife
+	for peer, at := range a.heard {
+		if now.Sub(at) < forgetTime {
+			continue
+		}
+		delete(a.heard, peer)
+		for _, b := range a.buckets {
+			delete(b.peers, peer)
+		}
+	}
 }
--- a/pkg/confirmer/confirmer.go
+++ b/pkg/confirmer/confirmer.go
@@ -21,10 +21,9 @@
 	// Clock counts suspensions; nil means that there are none.
 	Clock Clock
 
-	mu        sync.Mutex
-	at        time.Time
-	suspended time.Duration
-	set       bool
+	mu   sync.Mutex
+	last Stamp
+	set  bool
 }
 
 // Stamp is a moment by a clock that counts suspensions. It is taken before the
@@ -39,10 +38,11 @@
 	return Stamp{at: time.Now(), suspended: c.now()}
 }
 
-// Ago returns the moment that lies age before the present one.
-func (c *Confirmer) Ago(age time.Duration) Stamp {
-	return Stamp{at: time.Now().Add(-age), suspended: c.now()}
-}
+// Since returns the time from o to s, suspensions included.
+func (s Stamp) Since(o Stamp) time.Duration { return s.at.Sub(o.at) + s.suspended - o.suspended }
+
+// Add returns the moment d after s.
+func (s Stamp) Add(d time.Duration) Stamp { return Stamp{at: s.at.Add(d), suspended: s.suspended} }
 
 func (c *Confirmer) now() time.Duration {
 	if c.Clock == nil {
@@ -56,22 +56,22 @@
 func (c *Confirmer) Confirm(s Stamp) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.set && s.at.Add(s.suspended).Before(c.at.Add(c.suspended)) {
+	if c.set && s.Since(c.last) < 0 {
 		return
 	}
-	c.at, c.suspended, c.set = s.at, s.suspended, true
+	c.last, c.set = s, true
 }
 
 // Age returns the time since the newest confirmation, and false if there has
 // been none.
 func (c *Confirmer) Age() (time.Duration, bool) {
-	suspended := c.now()
+	now := c.Stamp()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.set {
 		return 0, false
 	}
-	return time.Since(c.at) + suspended - c.suspended, true
+	return now.Since(c.last), true
 }
 
 // Within reports whether the newest confirmation is younger than bound.
--- a/pkg/placer/pick.go
+++ b/pkg/placer/pick.go
@@ -11,16 +11,17 @@
 const (
 	sameZone    = 200 * time.Microsecond
 	otherZone   = 3 * time.Millisecond
-	otherRegion = 30 * time.Millisecond
+	otherRegion = 26 * time.Millisecond
 )
 
 // Crossing a zone or region is charged to the expected finish, so that targets
 // nearby are preferred unless that costs the caller more.
 const (
-	zoneCharge   = 40 * time.Millisecond
-	regionCharge = 60 * time.Millisecond
-	// byteCharge is added for each KiB that crosses.
-	byteCharge = 15 * time.Millisecond
+	zoneCharge   = 30 * time.Millisecond
+	regionCharge = 20 * time.Millisecond
+	// zoneByteCharge and regionByteCharge are added for each KiB that crosses.
+	zoneByteCharge   = 12 * time.Millisecond
+	regionByteCharge = 5 * time.Millisecond
 	// spreadCharge orders targets that are alike by the object's hash, so that
 	// all hosts send an object to the same ones.
 	spreadCharge = 60 * time.Millisecond
@@ -28,16 +29,19 @@
 	failureCharge = 2 * time.Second
 )
 
+// coldStartFactor is how much longer a target takes while it is cold.
+const coldStartFactor = 2
+
 // Want describes the request that a target is chosen for.
 type Want struct {
 	Service ids.Service
 	// Class names the kind of work, whose times are learned together.
 	Class string
-	// Object is what the request is about; empty if it is not known.
-	Object string
+	// Object is what the request is about.
+	Object Object
 	// Objective is the latency that is aimed at, used until times are learned.
 	Objective time.Duration
-	// KiB is the size of the body and the answer, as far as it is known.
+	// KiB is the size of the body, as far as it is known.
 	KiB float64
 	// Homes are the only regions allowed; empty means all.
 	Homes [][]ids.Region
@@ -55,12 +59,15 @@
 	Warm bool
 	// Wait and Work are the expected times before and at work.
 	Wait, Work time.Duration
+	// Backlog is the estimate of what the target held.
+	Backlog float64
 
 	pool   *pool
 	target *target
 	want   Want
 	sent   time.Time
-	free   bool
+	way    time.Duration
+	rank   int
 }
 
 // Pick chooses a target and counts the request in. It returns nil if there is
@@ -68,6 +75,7 @@
 func (p *Placer) Pick(w Want) *Choice {
 	p.mu.RLock()
 	pl := p.services[w.Service]
+	evacuated := p.evacuated
 	p.mu.RUnlock()
 	if pl == nil {
 		return nil
@@ -76,22 +84,23 @@
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	tm := pl.timesOf(w)
-	var best *Choice
-	bestScore := time.Duration(0)
+	var best Choice
+	var bestScore time.Duration
 	for _, t := range pl.targets {
-		if !p.usable(pl, t, w, now) {
+		if evacuated[t.Zone] || !p.usable(pl, t, w, now) {
 			continue
 		}
-		c, score := p.score(t, tm, w, now)
-		if best == nil || score < bestScore {
+		c, score := p.score(pl, t, tm, w, now)
+		if best.target == nil || score < bestScore {
 			best, bestScore = c, score
 		}
 	}
-	if best == nil {
+	if best.target == nil {
 		return nil
 	}
 	best.begin(pl, now)
-	return best
+	p.starts.add(best.target.short, w.Object)
+	return &best
 }
 
 // timesOf returns the learned times of a class. The caller holds the lock.
@@ -104,9 +113,10 @@
 	return tm
 }
 
+// usable reports whether t may get the request. The caller holds the lock.
 func (p *Placer) usable(pl *pool, t *target, w Want, now time.Time) bool {
 	switch {
-	case t.Draining, now.Before(t.ejected), p.isEvacuated(t.Zone), slices.Contains(w.Avoid, t.ID):
+	case t.Draining, now.Before(t.ejected), slices.Contains(w.Avoid, t.ID):
 		return false
 	case t.cold(now) && now.Sub(t.coldSentAt) < p.coldInterval(pl):
 		return false
@@ -133,42 +143,45 @@
 }
 
 // score returns what choosing t means, and its expected finish with charges.
-func (p *Placer) score(t *target, tm *times, w Want, now time.Time) (*Choice, time.Duration) {
-	warm := w.Object != "" && t.warm.has(w.Object)
-	work := tm.cold
-	if warm {
-		work = tm.warm
+func (p *Placer) score(pl *pool, t *target, tm *times, w Want, now time.Time) (Choice, time.Duration) {
+	c := Choice{
+		ID: t.ID, Address: t.Address, Zone: t.Zone, Region: t.region,
+		target: t, want: w, rank: -1, Backlog: t.backlog(now),
 	}
-	work = time.Duration(float64(work) * t.slowness)
-	if t.cold(now) {
-		work *= 2
+	if w.Object != NoObject {
+		c.rank = t.warm.rank(w.Object)
 	}
-	slots := max(t.Slots, 1)
-	ahead := t.backlog(now) + 1 - float64(slots)
-	wait := time.Duration(0)
-	if ahead > 0 {
-		wait = time.Duration(ahead / float64(slots) * float64((tm.warm+tm.cold)/2))
+	c.Warm = c.rank >= 0 && float64(c.rank) < pl.kept
+	c.Work = tm.cold
+	if c.Warm {
+		c.Work = tm.warm
 	}
-	c := &Choice{
-		ID: t.ID, Address: t.Address, Zone: t.Zone, Region: t.region,
-		Warm: warm, Wait: wait, Work: work, target: t, want: w, free: ahead <= 0,
+	c.Work = time.Duration(float64(c.Work) * t.slowness)
+	if t.cold(now) {
+		c.Work *= coldStartFactor
+	}
+	slots := float64(max(t.Slots, 1))
+	if ahead := c.Backlog + 1 - slots; ahead > 0 {
+		c.Wait = time.Duration(ahead / slots * float64(max(pl.work, tm.warm)))
 	}
-	total := wait + work + p.way(t, w)
+	var charge time.Duration
+	c.way, charge = p.distance(t, w)
+	total := c.Wait + c.Work + c.way + charge
 	total += time.Duration(t.failures * float64(failureCharge))
-	total += time.Duration(hash(w.Object, t.ID) * float64(spreadCharge))
+	total += time.Duration(spread(w.Object, t.short) * float64(spreadCharge))
 	return c, total
 }
 
-// way returns the time to the target and back, with charges.
-func (p *Placer) way(t *target, w Want) time.Duration {
-	bytes := time.Duration(w.KiB * float64(byteCharge))
+// distance returns the time to the target and back, and what crossing is
+// charged.
+func (p *Placer) distance(t *target, w Want) (way, charge time.Duration) {
 	switch {
 	case t.Zone == p.cfg.Zone:
-		return sameZone
+		return sameZone, 0
 	case t.region == p.cfg.Regions[p.cfg.Zone]:
-		return otherZone + zoneCharge + bytes
+		return otherZone, zoneCharge + time.Duration(w.KiB*float64(zoneByteCharge))
 	default:
-		return otherRegion + regionCharge + bytes
+		return otherRegion, regionCharge + time.Duration(w.KiB*float64(regionByteCharge))
 	}
 }
 
@@ -181,8 +194,8 @@
 	if t.cold(now) {
 		t.coldSentAt = now
 	}
-	if c.want.Object != "" {
-		t.warm.add(c.want.Object)
+	if c.want.Object != NoObject {
+		t.warm.touch(c.want.Object, mostKept)
 	}
 }
 
@@ -190,7 +203,7 @@
 type Outcome struct {
 	// Answered says that the target ran the request and answered.
 	Answered bool
-	// Failed says that the target failed, or could not be reached.
+	// Failed says that the target failed the request.
 	Failed bool
 	// Unreachable says that nothing could be sent to the target.
 	Unreachable bool
@@ -227,29 +240,49 @@
 	case o.Shed:
 		t.load, t.ownAt, t.loadAt = max(t.load, t.Slots*2), t.inFlight, now
 	case o.Failed:
-		t.failures += speedGain * (1 - t.failures)
+		t.failures += gain * (1 - t.failures)
 	case o.Answered:
 		t.ejections = 0
-		t.failures -= speedGain * t.failures
-		c.learn(now)
+		t.failures -= gain * t.failures
+		c.learn(pl, now.Sub(c.sent)-c.way)
 	}
 }
 
 // learn takes the time of an answer in. The caller holds the lock.
-func (c *Choice) learn(now time.Time) {
-	took := now.Sub(c.sent)
-	tm := c.pool.timesOf(c.want)
-	if c.free {
-		if c.Warm {
-			learn(&tm.warm, took)
-		} else {
-			learn(&tm.cold, took)
-		}
+func (c *Choice) learn(pl *pool, took time.Duration) {
+	tm := pl.timesOf(c.want)
+	if pl.work == 0 {
+		pl.work = took
 	}
-	expected := c.Wait + c.Work
-	if expected <= 0 {
-		return
+	if c.Wait > 0 {
+		return // The time tells more of the queue than of the work.
+	}
+	learn(&pl.work, took)
+	t := c.target
+	fair := time.Duration(float64(took) / t.slowness)
+	fast := fair < (tm.warm+tm.cold)/2
+	if fast {
+		learn(&tm.warm, fair)
+	} else {
+		learn(&tm.cold, min(fair, 2*tm.cold))
+	}
+	c.learnKept(pl, fast)
+	expected := tm.cold
+	if fast {
+		expected = tm.warm
+	}
+	ratio := min(max(took.Seconds()/max(expected.Seconds(), 1e-3), 0.5), 8)
+	t.slowness = min(max(t.slowness+gain*(ratio-t.slowness), 0.5), 8)
+}
+
+// learnKept corrects the number of objects that targets keep warm. The caller
+// holds the lock.
+func (c *Choice) learnKept(pl *pool, fast bool) {
+	switch {
+	case c.rank < 0:
+	case fast && !c.Warm:
+		pl.kept = min(pl.kept+keptStep, mostKept)
+	case !fast && c.Warm:
+		pl.kept = max(pl.kept-keptStep, leastKept)
 	}
-	ratio := min(max(took.Seconds()/expected.Seconds()*c.target.slowness, 0.3), 8)
-	c.target.slowness += speedGain * (ratio - c.target.slowness)
 }
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -4,7 +4,6 @@
 package placer
 
 import (
-	"hash/fnv"
 	"sync"
 	"time"
 
@@ -25,10 +24,12 @@
 // Placer holds what this host knows of the targets. Its methods may be called
 // from several goroutines.
 type Placer struct {
-	cfg Config
+	cfg    Config
+	starts startLog
 
 	mu        sync.RWMutex
 	services  map[ids.Service]*pool
+	byShort   map[uint32]*pool
 	evacuated map[ids.Zone]bool
 }
 
@@ -36,14 +37,19 @@
 type pool struct {
 	mu      sync.Mutex
 	targets []*target
+	byShort map[uint32]*target
 	times   map[string]*times
+	// work is the mean time that a request takes at a target.
+	work time.Duration
+	// kept is how many objects a target is believed to keep warm.
+	kept float64
 	// coldRate is what a cold target bears, in requests a second.
 	coldRate float64
 }
 
 // New returns a Placer that knows no target.
 func New(cfg Config) *Placer {
-	return &Placer{cfg: cfg, services: make(map[ids.Service]*pool)}
+	return &Placer{cfg: cfg, services: make(map[ids.Service]*pool), byShort: make(map[uint32]*pool)}
 }
 
 // SetTargets replaces the targets. What is known of those that stay is kept.
@@ -59,8 +65,13 @@
 			pl.set(nil, p.cfg.Regions)
 		}
 	}
+	clear(p.byShort)
 	for name, targets := range byService {
-		p.pool(name).set(targets, p.cfg.Regions)
+		pl := p.pool(name)
+		pl.set(targets, p.cfg.Regions)
+		for short := range pl.byShort {
+			p.byShort[short] = pl
+		}
 	}
 }
 
@@ -68,7 +79,7 @@
 func (p *Placer) pool(name ids.Service) *pool {
 	pl := p.services[name]
 	if pl == nil {
-		pl = &pool{times: make(map[string]*times)}
+		pl = &pool{times: make(map[string]*times), kept: firstKept}
 		p.services[name] = pl
 	}
 	return pl
@@ -92,12 +103,6 @@
 	p.evacuated = zones
 }
 
-func (p *Placer) isEvacuated(z ids.Zone) bool {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	return p.evacuated[z]
-}
-
 // set replaces the pool's targets.
 func (pl *pool) set(all []registrar.Target, regions map[ids.Zone]ids.Region) {
 	pl.mu.Lock()
@@ -106,36 +111,19 @@
 	for _, t := range pl.targets {
 		known[t.ID] = t
 	}
-	next := make([]*target, 0, len(all))
+	pl.targets = make([]*target, 0, len(all))
+	pl.byShort = make(map[uint32]*target, len(all))
 	for _, info := range all {
 		t := known[info.ID]
 		if t == nil || t.Born != info.Born || t.Address != info.Address {
 			t = newTarget()
 		}
 		t.Target = info
+		t.short = shorten(string(info.ID))
 		t.region = regions[info.Zone]
-		next = append(next, t)
-	}
-	for _, t := range pl.targets {
-		t.gone = true
-	}
-	for _, t := range next {
-		t.gone = false
+		pl.targets = append(pl.targets, t)
+		pl.byShort[t.short] = t
 	}
-	pl.targets = next
-}
-
-// hash spreads objects over targets, alike on every host.
-func hash(object string, id ids.Target) float64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(object)) // It never fails.
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(id))
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return float64(x>>11) / (1 << 53)
 }
 
 // seconds converts seconds into a duration.
--- /dev/null
+++ b/pkg/placer/share.go
@@ -0,0 +1,108 @@
+package placer
+
+import (
+	"sync"
+	"time"
+
+	"gypsumbeam.example/gypsumbeam/pkg/ids"
+)
+
+// Start says that a target was sent a request for an object.
+type Start struct {
+	Target uint32
+	Object Object
+}
+
+// Running says how many requests a host has at a target.
+type Running struct {
+	Target uint32
+	Count  int
+}
+
+// maxStarts bounds the starts that are kept for other hosts.
+const maxStarts = 512
+
+// startLog holds this host's most recent starts, numbered from 0.
+type startLog struct {
+	mu   sync.Mutex
+	all  []Start
+	next uint64
+}
+
+func (l *startLog) add(target uint32, o Object) {
+	if o == NoObject {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.all) >= maxStarts {
+		l.all = append(l.all[:0], l.all[maxStarts/2:]...)
+	}
+	l.all = append(l.all, Start{target, o})
+	l.next++
+}
+
+// Starts returns this host's starts from a number on, at most limit of them,
+// and the number to go on from.
+func (p *Placer) Starts(from uint64, limit int) ([]Start, uint64) {
+	l := &p.starts
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first := l.next - uint64(len(l.all))
+	from = max(from, first)
+	if l.next-from > uint64(limit) {
+		from = l.next - uint64(limit)
+	}
+	out := make([]Start, l.next-from)
+	copy(out, l.all[from-first:])
+	return out, l.next
+}
+
+// Running returns the targets at which this host has requests.
+func (p *Placer) Running() []Running {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	var all []Running
+	for _, pl := range p.services {
+		pl.mu.Lock()
+		for _, t := range pl.targets {
+			if t.inFlight > 0 {
+				all = append(all, Running{t.short, t.inFlight})
+			}
+		}
+		pl.mu.Unlock()
+	}
+	return all
+}
+
+// Absorb takes what another host told of its requests.
+func (p *Placer) Absorb(peer ids.Instance, running []Running, starts []Start) {
+	now := time.Now()
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	counts := make(map[uint32]int, len(running))
+	for _, r := range running {
+		counts[r.Target] = r.Count
+	}
+	for _, pl := range p.services {
+		pl.mu.Lock()
+		for short, t := range pl.byShort {
+			n := counts[short]
+			if _, known := t.peers[peer]; n > 0 || known {
+				t.peers[peer] = peerLoad{n, now}
+			}
+		}
+		pl.mu.Unlock()
+	}
+	for _, s := range starts {
+		pl := p.byShort[s.Target]
+		if pl == nil {
+			continue
+		}
+		pl.mu.Lock()
+		if t := pl.byShort[s.Target]; t != nil {
+			t.warm.touch(s.Object, mostKept)
+		}
+		pl.mu.Unlock()
+	}
+}
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -99,7 +99,7 @@
 		w.Homes = append(w.Homes, q.ws.Homes)
 	}
 	if q.route.Affinity && q.call.Object != "" {
-		w.Object = q.route.Name + "/" + q.call.Object
+		w.Object = placer.NameObject(q.route.Name, q.call.Object)
 	}
 	return w
 }
--- a/service/gatewayhost/feed.go
+++ b/service/gatewayhost/feed.go
@@ -14,7 +14,11 @@
 	for _, s := range d.Services {
 		h.placer.SetColdRate(s.Name, s.ColdRate)
 	}
-	h.router.Store(router.New(d))
+	r := router.New(d)
+	for i := range r.Workspaces {
+		h.allotter.Ready(&r.Workspaces[i])
+	}
+	h.router.Store(r)
 	h.log.WithFields(log.Fields{"version": d.Version, "routes": len(d.Routes)}).Info("configuration in force")
 }
 
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -22,6 +22,7 @@
 	"gypsumbeam.example/gypsumbeam/pkg/retrier"
 	"gypsumbeam.example/gypsumbeam/pkg/router"
 	"gypsumbeam.example/gypsumbeam/service/gateway"
+	"gypsumbeam.example/gypsumbeam/service/siblings"
 	"gypsumbeam.example/gypsumbeam/service/targets"
 )
 
@@ -58,6 +59,10 @@
 	Revoke, Grace time.Duration
 	// RetryRatio is the share of requests that may be sent again.
 	RetryRatio float64
+	// State is what is known of the platform's store.
+	State siblings.State
+	// Conn carries datagrams between hosts.
+	Conn net.PacketConn
 }
 
 // Host is one gateway host. Its feed methods may be called before Start.
@@ -74,6 +79,7 @@
 	handler   *gateway.Handler
 	server    *pipeliner.Server
 	recorder  *recorder
+	gossiper  *siblings.Gossiper
 	leaving   atomic.Bool
 	cancel    context.CancelFunc
 	running   sync.WaitGroup
@@ -84,7 +90,7 @@
 	h := &Host{cfg: cfg, log: logflags.Logger(logflags.EntryHost), lister: &lister.Lister{}}
 	h.placer = placer.New(placer.Config{Zone: cfg.Self.Zone, Regions: cfg.Regions, ColdShare: h.share})
 	h.registrar.Changed = h.placer.SetTargets
-	h.allotter.Share = h.share
+	h.allotter.Members = func() int { return len(h.lister.Hosts()) }
 	h.sender = targets.New(targets.Config{
 		ConnectTimeout: targetConnect, IdleTimeout: targetIdle, Connections: targetConnections, Untimed: true,
 	})
@@ -94,6 +100,10 @@
 		Sender: h.sender, Budget: &h.budget, Recorder: h.recorder,
 		KeyBound: cfg.Revoke - keyMargin, RetryRatio: cfg.RetryRatio,
 	})
+	h.gossiper = siblings.New(siblings.Config{
+		Self: cfg.Self, Conn: cfg.Conn, Hosts: h.lister.Hosts, Ready: h.Ready, State: cfg.State,
+		Confirmer: cfg.Confirmer, Placer: h.placer, Allotter: &h.allotter, Log: logflags.Logger(logflags.Peers),
+	})
 	h.server = pipeliner.New(pipeliner.Config{Handler: h.handler, Bounds: h.bounds})
 	return h
 }
@@ -120,6 +130,7 @@
 	h.cancel = cancel
 	h.running.Go(func() { h.server.Serve(l) })
 	h.running.Go(func() { h.upkeep(ctx) })
+	h.running.Go(h.gossiper.Receive)
 	h.log.WithFields(log.Fields{
 		"name": h.cfg.Self.Callers, "zone": string(h.cfg.Self.Zone), "instance": string(h.cfg.Self.Instance),
 	}).Info("started")
@@ -134,6 +145,8 @@
 		case <-t.C:
 			h.registrar.Expire()
 			h.lister.SetSelf(h.cfg.Self.Callers, h.Ready())
+			h.gossiper.Tick()
+			h.lister.SetSilent(h.gossiper.Silent())
 		case <-ctx.Done():
 			return
 		}
@@ -164,6 +177,7 @@
 	err := h.server.Drain(ctx)
 	h.server.Close()
 	h.cancel()
+	_ = h.cfg.Conn.Close() // The process ends next.
 	h.running.Wait()
 	h.sender.Close()
 	h.log.WithField("clean", err == nil).Info("stopped")
@@ -171,3 +185,6 @@
 
 // Self returns what this host tells of itself.
 func (h *Host) Self() lister.Host { return h.cfg.Self }
+
+// Rank returns the place of this host among those that are heard of.
+func (h *Host) Rank() int { return h.gossiper.Rank() }
--- a/service/gatewayhost/recorder.go
+++ b/service/gatewayhost/recorder.go
@@ -15,7 +15,7 @@
 
 // The most lines a second for requests that were served and that failed.
 const (
-	servedLines = 20
+	servedLines = 2000
 	failedLines = 200
 )
 
