--- a/pkg/placer/pick.go
+++ b/pkg/placer/pick.go
@@ -29,6 +29,10 @@
 	failureCharge = 2 * time.Second
 )
 
+// firstUseCredit is taken off for a target that nobody has used yet, so that it
+// begins to carry its part.
+const firstUseCredit = time.Second
+
 // coldStartFactor is how much longer a target takes while it is cold.
 const coldStartFactor = 2
 
@@ -168,6 +172,9 @@
 	c.way, charge = p.distance(t, w)
 	total := c.Wait + c.Work + c.way + charge
 	total += time.Duration(t.failures * float64(failureCharge))
+	if t.unused(now) {
+		total -= firstUseCredit
+	}
 	total += time.Duration(spread(w.Object, t.short) * float64(spreadCharge))
 	return c, total
 }
--- a/pkg/placer/target.go
+++ b/pkg/placer/target.go
@@ -76,6 +76,11 @@
 
 func (t *target) cold(now time.Time) bool { return now.Before(t.ColdUntil) }
 
+// unused reports whether no host is known to have sent the target anything.
+func (t *target) unused(now time.Time) bool {
+	return len(t.warm.order) == 0 && t.inFlight == 0 && !t.cold(now)
+}
+
 // eject sends nothing to the target for a while.
 func (t *target) eject(now time.Time) {
 	d := min(firstEjection<<min(t.ejections, 4), longestEjection)
--- a/service/gatewayhost/feed.go
+++ b/service/gatewayhost/feed.go
@@ -15,8 +15,10 @@
 		h.placer.SetColdRate(s.Name, s.ColdRate)
 	}
 	r := router.New(d)
+	old := h.router.Load()
 	for i := range r.Workspaces {
 		h.allotter.Ready(&r.Workspaces[i])
+		h.logLimit(old, &r.Workspaces[i])
 	}
 	h.router.Store(r)
 	h.log.WithFields(log.Fields{"version": d.Version, "routes": len(d.Routes)}).Info("configuration in force")
@@ -55,3 +57,16 @@
 	h.lister.SetHosts(all)
 	h.log.WithField("hosts", len(all)).Info("hosts read")
 }
+
+// logLimit writes a line if a workspace's limit differs from the last version's.
+func (h *Host) logLimit(old *router.Router, w *router.Workspace) {
+	if old != nil {
+		for i := range old.Workspaces {
+			o := &old.Workspaces[i]
+			if o.Name == w.Name && o.Rate == w.Rate && o.Burst == w.Burst {
+				return
+			}
+		}
+	}
+	h.log.WithFields(log.Fields{"workspace": string(w.Name), "rate": w.Rate, "burst": w.Burst}).Info("limit in force")
+}
