pkg/pipeliner, service/gateway, platform/watcher: tests; metrics; settings that change

SIGHUP ended the process, as nobody took it: it reloads the settings now, as does a file that changes without a signal. Metrics are served as text. The replayed body of callers and gateway is one package. A stand-in of the store for tests on the virtual clock: deaf watches, compaction, outages, entries of others.

--- a/cmd/gypsumd/main.go
+++ b/cmd/gypsumd/main.go
@@ -12,6 +12,6 @@
 func main() {
 	// Room for the second signal, which ends a stop that takes too long.
 	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	os.Exit(cmds.Run(os.Args[1:], signals, os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/internal/standin/kvstore/kvstore.go
@@ -0,0 +1,359 @@
+// Package kvstore is a stand-in for the users' metadata store: keys with
+// revisions, leases, ranges, watches and conditional writes over HTTP, and the
+// ways in which it fails.
+package kvstore
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// pageItems is the most items that one page holds.
+const pageItems = 50
+
+// Item is one key.
+type Item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Created  uint64 `json:"created,omitempty"`
+	Lease    uint64 `json:"lease,omitempty"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// Faults are the ways in which the store fails until they are changed.
+type Faults struct {
+	// Refuse answers every call with this status; 0 means none.
+	Refuse int
+	// LoseAnswers executes calls and cuts their connections.
+	LoseAnswers bool
+	// Deaf lets watches hear nothing.
+	Deaf bool
+	// Delay is added to each answer.
+	Delay time.Duration
+}
+
+// Store is the stand-in. The zero value is empty; it implements http.Handler.
+type Store struct {
+	mu        sync.Mutex
+	revision  uint64
+	items     map[string]Item
+	history   []Item
+	compacted uint64
+	leases    map[uint64]*lease
+	nextLease uint64
+	faults    Faults
+	changed   chan struct{}
+	calls     map[string]int
+}
+
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+// SetFaults changes how the store fails. Watches that wait are cut.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.wake()
+}
+
+// Calls returns how many calls of a path were made.
+func (s *Store) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+// Put writes a key as the operator or a target would.
+func (s *Store) Put(key, value string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.put(key, []byte(value), 0)
+}
+
+// Delete removes a key.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(key)
+}
+
+// Get returns the value of a key, and whether there is one.
+func (s *Store) Get(key string) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	it, ok := s.items[key]
+	return string(it.Value), ok
+}
+
+// Compact forgets the history. Watches that wait are cut.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.compacted = s.revision
+	s.wake()
+}
+
+// put writes a key. The caller holds the lock.
+func (s *Store) put(key string, value []byte, id uint64) uint64 {
+	if s.items == nil {
+		s.items = make(map[string]Item)
+	}
+	s.revision++
+	created := s.revision
+	if old, ok := s.items[key]; ok {
+		created = old.Created
+	}
+	it := Item{Key: key, Value: value, Revision: s.revision, Created: created, Lease: id}
+	s.items[key] = it
+	s.history = append(s.history, it)
+	s.wake()
+	return s.revision
+}
+
+// remove deletes a key. The caller holds the lock.
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.history = append(s.history, Item{Key: key, Revision: s.revision, Deleted: true})
+	s.wake()
+}
+
+// wake lets the watches look again. The caller holds the lock.
+func (s *Store) wake() {
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	if s.calls == nil {
+		s.calls = make(map[string]int)
+	}
+	s.calls[r.URL.Path]++
+	f := s.faults
+	s.mu.Unlock()
+	time.Sleep(f.Delay)
+	if f.Refuse != 0 {
+		w.WriteHeader(f.Refuse)
+		return
+	}
+	status, answer := s.answer(r)
+	if f.LoseAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if answer != nil {
+		// A caller that is gone needs no answer.
+		_ = json.NewEncoder(w).Encode(answer)
+	}
+}
+
+func (s *Store) answer(r *http.Request) (int, any) {
+	q := r.URL.Query()
+	switch {
+	case r.URL.Path == "/kv-key":
+		return s.key(q.Get("key"))
+	case r.URL.Path == "/kv-range":
+		return s.page(q.Get("prefix"), q.Get("after"))
+	case r.URL.Path == "/kv-watch":
+		return s.watch(r)
+	case r.URL.Path == "/kv-txn":
+		return s.txn(r)
+	case r.URL.Path == "/kv-lease":
+		return s.grant(r)
+	case strings.HasPrefix(r.URL.Path, "/kv-keep/"):
+		return s.keep(strings.TrimPrefix(r.URL.Path, "/kv-keep/"))
+	case strings.HasPrefix(r.URL.Path, "/kv-lease-end/"):
+		return s.end(strings.TrimPrefix(r.URL.Path, "/kv-lease-end/"))
+	default:
+		return http.StatusNotFound, nil
+	}
+}
+
+func (s *Store) key(key string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	it, ok := s.items[key]
+	if !ok {
+		return http.StatusNotFound, nil
+	}
+	return http.StatusOK, struct {
+		Item
+		AsOf uint64 `json:"asOf"`
+	}{it, s.revision}
+}
+
+func (s *Store) page(prefix, after string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := []Item{}
+	for key, it := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			all = append(all, it)
+		}
+	}
+	slices.SortFunc(all, func(a, b Item) int { return cmp.Compare(a.Key, b.Key) })
+	truncated := len(all) > pageItems
+	if truncated {
+		all = all[:pageItems]
+	}
+	return http.StatusOK, map[string]any{"items": all, "truncated": truncated, "asOf": s.revision}
+}
+
+func (s *Store) watch(r *http.Request) (int, any) {
+	q := r.URL.Query()
+	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	if err != nil {
+		return http.StatusBadRequest, nil
+	}
+	wait, err := strconv.Atoi(q.Get("waitMs"))
+	if err != nil {
+		return http.StatusBadRequest, nil
+	}
+	end := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer end.Stop()
+	for {
+		s.mu.Lock()
+		if after < s.compacted {
+			s.mu.Unlock()
+			return http.StatusGone, nil
+		}
+		events := s.eventsAfter(q.Get("prefix"), after)
+		deaf, changed, revision := s.faults.Deaf, s.changed, s.revision
+		if changed == nil {
+			s.changed = make(chan struct{})
+			changed = s.changed
+		}
+		s.mu.Unlock()
+		if len(events) > 0 && !deaf {
+			return http.StatusOK, map[string]any{"events": events, "asOf": revision}
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return http.StatusOK, map[string]any{"events": []Item{}, "asOf": after}
+		case <-r.Context().Done():
+			return http.StatusServiceUnavailable, nil
+		}
+	}
+}
+
+// eventsAfter returns the changes after a revision. The caller holds the lock.
+func (s *Store) eventsAfter(prefix string, after uint64) []Item {
+	var events []Item
+	for _, it := range s.history {
+		if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
+			events = append(events, it)
+		}
+	}
+	return events
+}
+
+func (s *Store) txn(r *http.Request) (int, any) {
+	var body struct {
+		ExpectedRev []Item   `json:"expectedRev"`
+		Writes      []Item   `json:"writes"`
+		Deletes     []string `json:"deletes"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		return http.StatusBadRequest, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range body.ExpectedRev {
+		if s.items[e.Key].Revision != e.Revision {
+			return http.StatusPreconditionFailed, map[string]any{"items": []Item{s.items[e.Key]}}
+		}
+	}
+	for _, w := range body.Writes {
+		if w.Lease != 0 && s.leases[w.Lease] == nil {
+			return http.StatusNotFound, nil
+		}
+	}
+	for _, w := range body.Writes {
+		s.put(w.Key, w.Value, w.Lease)
+	}
+	for _, key := range body.Deletes {
+		s.remove(key)
+	}
+	return http.StatusOK, map[string]any{"revision": s.revision}
+}
+
+func (s *Store) grant(r *http.Request) (int, any) {
+	var body struct {
+		TTL string `json:"ttl_time"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		return http.StatusBadRequest, nil
+	}
+	ttl, err := time.ParseDuration(body.TTL)
+	if err != nil {
+		return http.StatusBadRequest, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases == nil {
+		s.leases = make(map[uint64]*lease)
+	}
+	s.nextLease++
+	id := s.nextLease
+	s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.expire(id) })}
+	return http.StatusOK, map[string]any{"lease": id, "ttl_time": body.TTL}
+}
+
+func (s *Store) keep(text string) (int, any) {
+	id, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return http.StatusBadRequest, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		return http.StatusNotFound, nil
+	}
+	l.timer.Reset(l.ttl)
+	return http.StatusOK, map[string]any{"ttl_time": l.ttl.String()}
+}
+
+func (s *Store) end(text string) (int, any) {
+	id, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return http.StatusBadRequest, nil
+	}
+	s.expire(id)
+	return http.StatusOK, nil
+}
+
+// expire ends a lease and removes its keys.
+func (s *Store) expire(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.leases[id]; l != nil {
+		l.timer.Stop()
+	}
+	delete(s.leases, id)
+	for key, it := range s.items {
+		if it.Lease == id {
+			s.remove(key)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/allotter/allotter_test.go
@@ -0,0 +1,201 @@
+package allotter_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gypsumbeam.example/gypsumbeam/internal/seeds"
+	"gypsumbeam.example/gypsumbeam/pkg/allotter"
+	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/router"
+)
+
+// The bounds that the operators demand of a workspace's limit.
+const (
+	window = 5 * time.Second
+	excess = 0.1
+	slack  = 20
+)
+
+// step is the resolution of the simulated fleet.
+const step = 10 * time.Millisecond
+
+// fleet is hosts that tell each other of their use now and then.
+type fleet struct {
+	hosts []*allotter.Allotter
+	// cut holds the hosts that nobody hears and that hear nobody.
+	cut      map[int]bool
+	admitted []time.Time
+	asked    int
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{cut: make(map[int]bool)}
+	for range n {
+		f.hosts = append(f.hosts, &allotter.Allotter{Members: func() int { return n }})
+	}
+	return f
+}
+
+func (f *fleet) ready(w *router.Workspace) {
+	for _, h := range f.hosts {
+		h.Ready(w)
+	}
+}
+
+// tell carries what each host has to tell to all others.
+func (f *fleet) tell() {
+	for i, from := range f.hosts {
+		usages := from.Usages()
+		for j, to := range f.hosts {
+			if i != j && !f.cut[i] && !f.cut[j] {
+				to.Absorb(ids.Instance(fmt.Sprint(i)), usages)
+			}
+		}
+	}
+}
+
+// run asks for load requests a second, spread over the hosts by weights.
+func (f *fleet) run(rnd *rand.Rand, w *router.Workspace, load float64, weights []float64, d time.Duration) {
+	total := 0.0
+	for _, x := range weights {
+		total += x
+	}
+	const tellEvery = 20 // steps, 200 ms
+	for i := range int(d / step) {
+		time.Sleep(step)
+		if i%tellEvery == 0 {
+			f.tell()
+		}
+		for n := load*step.Seconds() + rnd.Float64(); n >= 1; n-- {
+			x := rnd.Float64() * total
+			host := 0
+			for x > weights[host] {
+				x -= weights[host]
+				host++
+			}
+			f.asked++
+			if _, ok := f.hosts[host].Admit(w); ok {
+				f.admitted = append(f.admitted, time.Now())
+			}
+		}
+	}
+}
+
+// most returns the most requests admitted in any window.
+func (f *fleet) most() int {
+	most, first := 0, 0
+	for i, at := range f.admitted {
+		for at.Sub(f.admitted[first]) > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+func bound(w *router.Workspace) int {
+	return int((w.Rate*window.Seconds()+w.Burst)*(1+excess) + slack)
+}
+
+func even(n int) []float64 {
+	ws := make([]float64, n)
+	for i := range ws {
+		ws[i] = 1
+	}
+	return ws
+}
+
+func skewed(n int) []float64 {
+	ws := even(n)
+	ws[0] = float64(4 * n)
+	return ws
+}
+
+// A workspace inside its rate is refused nothing, however its callers are
+// spread over the hosts.
+func TestInsideTheRateNothingIsRefused(t *testing.T) {
+	for name, weights := range map[string][]float64{"even": even(10), "skewed": skewed(10)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := &router.Workspace{Name: "school", Rate: 100, Burst: 100}
+				f := newFleet(10)
+				f.ready(w)
+				f.tell()
+				time.Sleep(4 * time.Second)
+				f.run(seeds.Source(t), w, 65, weights, 30*time.Second)
+				refused := f.asked - len(f.admitted)
+				is.True(float64(refused) < 0.005*float64(f.asked)) // refused inside the rate
+			})
+		})
+	}
+}
+
+// A hot workspace gets its rate and no more, on fleets of several sizes.
+func TestHotWorkspaceGetsItsRateAndNoMore(t *testing.T) {
+	for _, n := range []int{1, 3, 10, 40} {
+		for _, rate := range []float64{8, 100, 400} {
+			t.Run(fmt.Sprintf("%dHosts/%gPerSecond", n, rate), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					w := &router.Workspace{Name: "school", Rate: rate, Burst: rate}
+					f := newFleet(n)
+					f.ready(w)
+					f.tell()
+					rnd := seeds.Source(t)
+					f.run(rnd, w, rate*0.6, even(n), 5*time.Second)
+					f.run(rnd, w, rate*5, skewed(n), 15*time.Second)
+					is.True(f.most() <= bound(w)) // the limit over any window
+					is.True(float64(len(f.admitted)) > 0.85*rate*15)
+				})
+			})
+		}
+	}
+}
+
+// Hosts that are cut off keep to their part, and the others leave it to them.
+func TestRandomisedCutHostsKeepToTheirParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rnd := seeds.Source(t)
+		w := &router.Workspace{Name: "school", Rate: 100, Burst: 100}
+		f := newFleet(10)
+		f.ready(w)
+		f.tell()
+		for range 10 {
+			f.run(rnd, w, 500, even(10), 4*time.Second)
+			clear(f.cut)
+			for range rnd.IntN(5) {
+				f.cut[rnd.IntN(10)] = true
+			}
+		}
+		is.True(f.most() <= bound(w)) // the limit over any window
+	})
+}
+
+// Callers that are refused are told times that lie apart, so that they do not
+// come back together.
+func TestRefusedCallersComeBackOneAfterTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var a allotter.Allotter
+		w := &router.Workspace{Name: "school", Rate: 10, Burst: 1}
+		a.Ready(w)
+		time.Sleep(time.Second)
+		_, ok := a.Admit(w)
+		is.True(ok)
+		last := time.Duration(0)
+		for range 10 {
+			wait, ok := a.Admit(w)
+			is.True(!ok)
+			is.True(wait >= last+90*time.Millisecond) // the next token of its own
+			last = wait
+		}
+	})
+}
--- a/pkg/pipeliner/exchange.go
+++ b/pkg/pipeliner/exchange.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -34,8 +35,10 @@
 	next chan struct{}
 	body *body
 
-	header  http.Header
-	status  int
+	header http.Header
+	status int
+	// begun is set when the answer begins: the body is then no longer wanted.
+	begun   atomic.Bool
 	length  int64 // what is still due of a declared length; negative if chunked
 	chunked io.WriteCloser
 	closing bool
@@ -126,6 +129,7 @@
 		return
 	}
 	ex.status = status
+	ex.begun.Store(true)
 	if !ex.wait() {
 		ex.failed = true
 		return
@@ -265,7 +269,7 @@
 	if !b.ex.wait() {
 		return context.Canceled
 	}
-	if b.ex.status != 0 {
+	if b.ex.begun.Load() {
 		return ErrNotWhole // The answer has begun: the body is not wanted.
 	}
 	w := bufio.NewWriter(b.ex.c.nc)
--- a/service/callers/attempt.go
+++ b/service/callers/attempt.go
@@ -92,11 +92,11 @@
 	}
 	switch {
 	case t.f.ContentLength != 0:
-		r.Body = t.body.attempt()
+		r.Body = t.body.Attempt()
 	case !t.f.Idempotent:
 		// net/http repeats requests by itself if they have no body and carry an
 		// idempotency key. A body of its own keeps it from that.
-		r.Body = t.body.attempt()
+		r.Body = t.body.Attempt()
 	}
 	return r.WithContext(ctx)
 }
@@ -107,7 +107,7 @@
 	if wrote {
 		outcome = refusal.Unknown
 	}
-	if t.body.tooLarge() {
+	if t.body.TooLarge() {
 		return bodyTooLarge(outcome)
 	}
 	if err := ctx.Err(); err != nil {
--- a/service/callers/body.go
+++ b/service/callers/body.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,106 +30,6 @@
 // errBodyTooLarge ends a body that is over the service's bound.
 var errBodyTooLarge = errors.New("the body is over the service's bound")
 
-// errBodyClosed ends reads of an attempt that is over.
-var errBodyClosed = errors.New("the attempt is over")
-
-// replayBody lets one request's body be sent to several targets, one after the
-// other, as long as it is small.
-type replayBody struct {
-	limit int64
-
-	mu    sync.Mutex
-	src   io.Reader
-	kept  []byte
-	read  int64
-	err   error
-	spent bool
-}
-
-// replayable reports whether another attempt can have the whole body. It is
-// false while an earlier attempt still waits for the caller.
-func (b *replayBody) replayable() bool {
-	if !b.mu.TryLock() {
-		return false
-	}
-	defer b.mu.Unlock()
-	return !b.spent && (b.err == nil || errors.Is(b.err, io.EOF))
-}
-
-// tooLarge reports whether the body has passed its limit.
-func (b *replayBody) tooLarge() bool {
-	if !b.mu.TryLock() {
-		return false
-	}
-	defer b.mu.Unlock()
-	return errors.Is(b.err, errBodyTooLarge)
-}
-
-// bound sets the limit for what is read from now on.
-func (b *replayBody) bound(limit int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.limit = limit
-}
-
-// attempt returns the body from its start.
-func (b *replayBody) attempt() io.ReadCloser { return &attemptBody{b: b, done: make(chan struct{})} }
-
-// attemptBody is the body of one attempt.
-type attemptBody struct {
-	b    *replayBody
-	pos  int64
-	once sync.Once
-	done chan struct{}
-}
-
-// Read implements io.Reader.
-func (a *attemptBody) Read(p []byte) (int, error) {
-	a.b.mu.Lock()
-	defer a.b.mu.Unlock()
-	select {
-	case <-a.done:
-		return 0, errBodyClosed
-	default:
-	}
-	if a.pos < int64(len(a.b.kept)) {
-		n := copy(p, a.b.kept[a.pos:])
-		a.pos += int64(n)
-		return n, nil
-	}
-	n, err := a.b.next(p)
-	a.pos += int64(n)
-	return n, err
-}
-
-// next reads on from the caller. The caller of next holds mu.
-func (b *replayBody) next(p []byte) (int, error) {
-	if b.err != nil {
-		return 0, b.err
-	}
-	n, err := b.src.Read(p)
-	b.read += int64(n)
-	if b.read > b.limit {
-		n, err = 0, errBodyTooLarge
-	}
-	b.err = err
-	switch {
-	case b.spent:
-	case b.read > replayBytes:
-		b.spent = true
-		b.kept = nil
-	default:
-		b.kept = append(b.kept, p[:n]...)
-	}
-	return n, err
-}
-
-// Close implements io.Closer. Later reads fail.
-func (a *attemptBody) Close() error {
-	a.once.Do(func() { close(a.done) })
-	return nil
-}
-
 // trailerBody hands the trailer on when the body ends.
 type trailerBody struct {
 	io.ReadCloser
--- a/service/callers/forward.go
+++ b/service/callers/forward.go
@@ -9,6 +9,7 @@
 	"gypsumbeam.example/gypsumbeam/pkg/config"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
 	"gypsumbeam.example/gypsumbeam/pkg/refusal"
+	"gypsumbeam.example/gypsumbeam/pkg/replayer"
 )
 
 // retryTarget is the wait told after a failure of a target or a peer.
@@ -54,7 +55,7 @@
 	if f.IdempotencyKey != "" {
 		return h.runOwned(ctx, f, svc)
 	}
-	return h.serveBody(ctx, f, &replayBody{src: f.Body, limit: svc.BodyLimit()})
+	return h.serveBody(ctx, f, replayer.New(f.Body, replayBytes, svc.BodyLimit()))
 }
 
 // admit takes the workspace's token and sends the request where it is to go.
@@ -79,9 +80,9 @@
 	if region != h.cfg.Region && region != "" {
 		return h.relayOrServe(ctx, f, svc, region)
 	}
-	body := &replayBody{src: f.Body, limit: svc.BodyLimit()}
+	body := replayer.New(f.Body, replayBytes, svc.BodyLimit())
 	a, err := h.serveBody(ctx, f, body)
-	if err == nil || !elsewhereMay(f, err) || !body.replayable() || ctx.Err() != nil {
+	if err == nil || !elsewhereMay(f, err) || !body.Replayable() || ctx.Err() != nil {
 		return a, err
 	}
 	other, ok := h.cfg.Steerer.Elsewhere(f.Service, f.Origin)
@@ -89,7 +90,7 @@
 		return nil, err
 	}
 	again := *f
-	again.Body = body.attempt()
+	again.Body = body.Attempt()
 	first := asRefusal(err)
 	a, err = h.relay(ctx, &again, other)
 	return a, afterFirst(first, err)
@@ -99,11 +100,11 @@
 // if the targets there fail.
 func (h *Handler) relayOrServe(ctx context.Context, f *Forward, svc *config.Service, region ids.Region) (*Answer, error) {
 	// The other region holds the body to its bound.
-	body := &replayBody{src: f.Body, limit: math.MaxInt64}
+	body := replayer.New(f.Body, replayBytes, math.MaxInt64)
 	there := *f
-	there.Body = body.attempt()
+	there.Body = body.Attempt()
 	a, err := h.relay(ctx, &there, region)
-	if err == nil || !elsewhereMay(f, err) || !body.replayable() || ctx.Err() != nil {
+	if err == nil || !elsewhereMay(f, err) || !body.Replayable() || ctx.Err() != nil {
 		return a, err
 	}
 	if asRefusal(err).Code == refusal.CodeShiftCap {
@@ -111,7 +112,7 @@
 	}
 	_ = there.Body.Close() // It always returns nil.
 	first := asRefusal(err)
-	body.bound(svc.BodyLimit())
+	body.Bound(svc.BodyLimit())
 	a, err = h.serveBody(ctx, f, body)
 	if err != nil && asRefusal(err).Code == refusal.CodeShiftCap {
 		return nil, first
@@ -169,7 +170,7 @@
 // serveBody sends the request, with a body that can be read again, to targets
 // of this host's region until one answers, as far as that is safe. Requests of
 // other regions' callers count under the shift cap, whichever way they came.
-func (h *Handler) serveBody(ctx context.Context, f *Forward, body *replayBody) (*Answer, error) {
+func (h *Handler) serveBody(ctx context.Context, f *Forward, body *replayer.Replayer) (*Answer, error) {
 	if f.Origin != h.cfg.Region {
 		if rf := h.cfg.Steerer.Accept(f.Service, f.Origin); rf != nil {
 			return nil, rf
@@ -191,7 +192,7 @@
 	h     *Handler
 	f     *Forward
 	url   *url.URL
-	body  *replayBody
+	body  *replayer.Replayer
 	avoid []ids.Target
 	// outcome is no longer NotRun once an attempt may have run.
 	outcome refusal.Outcome
@@ -223,7 +224,7 @@
 		return false
 	}
 	safe := rf.Outcome == refusal.NotRun || t.f.Idempotent
-	if !safe || ctx.Err() != nil || !t.body.replayable() {
+	if !safe || ctx.Err() != nil || !t.body.Replayable() {
 		return false
 	}
 	return t.h.budget.Take(t.f.Service, t.f.Workspace)
--- a/service/gateway/handler.go
+++ b/service/gateway/handler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/replayer"
 	"gypsumbeam.example/gypsumbeam/pkg/router"
 )
 
@@ -33,10 +34,11 @@
 	Sender    Sender
 	Budget    Budget
 	Recorder  Recorder
-	// KeyBound is how old the proof may be that a key is in force.
-	KeyBound time.Duration
-	// RetryRatio is the share of a service's requests that may be sent again.
-	RetryRatio float64
+	// KeyBound returns how old the proof may be that a key is in force.
+	KeyBound func() time.Duration
+	// RetryRatio returns the share of a service's requests that may be sent
+	// again.
+	RetryRatio func() float64
 }
 
 // Handler serves requests. It implements http.Handler.
@@ -66,7 +68,7 @@
 	ws      *router.Workspace
 	service ids.Service
 	begun   time.Time
-	body    *replayBody
+	body    *replayer.Replayer
 	record  Record
 }
 
@@ -121,7 +123,7 @@
 	q.service = q.route.Pick()
 	q.record.Service = q.service
 	q.setDeadline()
-	q.body = &replayBody{src: q.r.Body, limit: q.router.Limits.MaxBodyBytes, length: q.r.ContentLength}
+	q.body = replayer.New(q.r.Body, replayBytes, q.router.Limits.MaxBodyBytes)
 	return q.admit()
 }
 
@@ -129,7 +131,7 @@
 // newest.
 func (q *request) confirmed() bool {
 	age, ok := q.h.cfg.Confirmer.Age()
-	return ok && age < q.h.cfg.KeyBound
+	return ok && age < q.h.cfg.KeyBound()
 }
 
 func (q *request) checkShape() *rejection {
--- a/service/gateway/ports.go
+++ b/service/gateway/ports.go
@@ -105,7 +105,11 @@
 type Attempt struct {
 	Target ids.Target
 	Zone   ids.Zone
-	Warm   bool
+	Region ids.Region
+	// Warm says that the target was believed to have served the object lately,
+	// and Backlog how many requests it was believed to hold.
+	Warm    bool
+	Backlog float64
 	// Expected is the expected time until the answer, and Took the real one.
 	Expected, Took time.Duration
 	// Result is a word for what became of it.
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -21,6 +21,8 @@
 	wholeBytes = 64 << 10
 	// retryTarget is told where no target could take the request.
 	retryTarget = 200 * time.Millisecond
+	// replayBytes is how much of a body is kept for a second send.
+	replayBytes = 128 << 10
 	// copyBytes is the size of the buffer for longer answers.
 	copyBytes = 32 << 10
 )
@@ -44,7 +46,7 @@
 
 // serve sends the request to one target after the other until one answers.
 func (q *request) serve(ctx context.Context) {
-	q.h.cfg.Budget.Request(q.service, "", q.h.cfg.RetryRatio)
+	q.h.cfg.Budget.Request(q.service, "", q.h.cfg.RetryRatio())
 	notRun := true
 	var avoid []ids.Target
 	var last *result
@@ -106,7 +108,7 @@
 
 // mayRetry reports whether another send is safe and within the budget.
 func (q *request) mayRetry(ctx context.Context, notRun bool) bool {
-	if ctx.Err() != nil || !q.body.replayable() {
+	if ctx.Err() != nil || !q.body.Replayable() {
 		return false
 	}
 	if !notRun && !q.route.Kind.Repeatable() {
@@ -133,7 +135,8 @@
 		release()
 	}
 	q.record.Attempts = append(q.record.Attempts, Attempt{
-		Target: c.ID, Zone: c.Zone, Warm: c.Warm, Expected: c.Wait + c.Work, Took: time.Since(begun), Result: res.word,
+		Target: c.ID, Zone: c.Zone, Region: c.Region, Warm: c.Warm, Backlog: c.Backlog,
+		Expected: c.Wait + c.Work, Took: time.Since(begun), Result: res.word,
 	})
 	return res
 }
@@ -207,9 +210,9 @@
 func (q *request) failure(ctx context.Context, wrote bool) *result {
 	res := &result{notRun: !wrote, word: "noAnswer"}
 	switch {
-	case q.body.tooLarge():
+	case q.body.TooLarge():
 		res.word = "bodyTooLarge"
-	case q.body.broken():
+	case q.body.Broken():
 		res.word = "bodyBroken"
 	case errors.Is(ctx.Err(), context.Canceled):
 		res.word = "callerGone"
@@ -262,10 +265,10 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: q.r.ContentLength,
 	}
 	if q.r.ContentLength != 0 {
-		r.Body = q.body.attempt()
+		r.Body = q.body.Attempt()
 	} else if !q.route.Kind.Repeatable() {
 		// A body of its own keeps net/http from repeating the request by itself.
-		r.Body = q.body.attempt()
+		r.Body = q.body.Attempt()
 	}
 	return r.WithContext(ctx)
 }
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -21,6 +21,7 @@
 	"gypsumbeam.example/gypsumbeam/pkg/registrar"
 	"gypsumbeam.example/gypsumbeam/pkg/retrier"
 	"gypsumbeam.example/gypsumbeam/pkg/router"
+	"gypsumbeam.example/gypsumbeam/pkg/tallier"
 	"gypsumbeam.example/gypsumbeam/service/gateway"
 	"gypsumbeam.example/gypsumbeam/service/siblings"
 	"gypsumbeam.example/gypsumbeam/service/targets"
@@ -46,6 +47,15 @@
 	targetConnections = 32
 )
 
+// Bounds are what the operators demand. They may change while the host runs.
+type Bounds struct {
+	// Revoke is the time in which a withdrawn key stops working, and Grace the
+	// time that a graceful stop may take.
+	Revoke, Grace time.Duration
+	// RetryRatio is the share of requests that may be sent again.
+	RetryRatio float64
+}
+
 // Config holds what a Host needs. All fields are required.
 type Config struct {
 	Self    lister.Host
@@ -54,11 +64,8 @@
 	Headers gateway.Headers
 	// Confirmer holds the proof that the configuration is the newest.
 	Confirmer *confirmer.Confirmer
-	// Revoke is the time in which a withdrawn key stops working, and Grace the
-	// time that a graceful stop may take.
-	Revoke, Grace time.Duration
-	// RetryRatio is the share of requests that may be sent again.
-	RetryRatio float64
+	// Bounds are those in force at the start.
+	Bounds Bounds
 	// State is what is known of the platform's store.
 	State siblings.State
 	// Conn carries datagrams between hosts.
@@ -70,6 +77,7 @@
 	cfg       Config
 	log       log.Interface
 	router    atomic.Pointer[router.Router]
+	limits    atomic.Pointer[Bounds]
 	registrar registrar.Registrar
 	placer    *placer.Placer
 	lister    *lister.Lister
@@ -79,6 +87,7 @@
 	handler   *gateway.Handler
 	server    *pipeliner.Server
 	recorder  *recorder
+	tally     tallier.Tallier
 	gossiper  *siblings.Gossiper
 	leaving   atomic.Bool
 	cancel    context.CancelFunc
@@ -88,17 +97,18 @@
 // New returns a Host that has not started.
 func New(cfg Config) *Host {
 	h := &Host{cfg: cfg, log: logflags.Logger(logflags.EntryHost), lister: &lister.Lister{}}
+	h.limits.Store(&cfg.Bounds)
 	h.placer = placer.New(placer.Config{Zone: cfg.Self.Zone, Regions: cfg.Regions, ColdShare: h.share})
 	h.registrar.Changed = h.placer.SetTargets
 	h.allotter.Members = func() int { return len(h.lister.Hosts()) }
 	h.sender = targets.New(targets.Config{
 		ConnectTimeout: targetConnect, IdleTimeout: targetIdle, Connections: targetConnections, Untimed: true,
 	})
-	h.recorder = newRecorder()
+	h.recorder = newRecorder(&h.tally)
 	h.handler = gateway.New(gateway.Config{
 		Headers: cfg.Headers, Routes: h, Confirmer: cfg.Confirmer, Placer: h.placer, Quota: &h.allotter,
 		Sender: h.sender, Budget: &h.budget, Recorder: h.recorder,
-		KeyBound: cfg.Revoke - keyMargin, RetryRatio: cfg.RetryRatio,
+		KeyBound: h.keyBound, RetryRatio: func() float64 { return h.limits.Load().RetryRatio },
 	})
 	h.gossiper = siblings.New(siblings.Config{
 		Self: cfg.Self, Conn: cfg.Conn, Hosts: h.lister.Hosts, Ready: h.Ready, State: cfg.State,
@@ -111,6 +121,12 @@
 // Router implements gateway.Routes.
 func (h *Host) Router() *router.Router { return h.router.Load() }
 
+// SetBounds puts changed bounds in force.
+func (h *Host) SetBounds(b Bounds) { h.limits.Store(&b) }
+
+// keyBound is how old the proof may be that a key is in force.
+func (h *Host) keyBound() time.Duration { return h.limits.Load().Revoke - keyMargin }
+
 // share returns this host's part of what all hosts may do together.
 func (h *Host) share() float64 { return 1 / float64(max(len(h.lister.Hosts()), 1)) }
 
@@ -156,7 +172,7 @@
 // Ready reports whether this host takes callers.
 func (h *Host) Ready() bool {
 	age, ok := h.cfg.Confirmer.Age()
-	return !h.leaving.Load() && h.router.Load() != nil && ok && age < h.cfg.Revoke-keyMargin
+	return !h.leaving.Load() && h.router.Load() != nil && ok && age < h.keyBound()
 }
 
 // Lister returns what look-ups are answered from.
@@ -166,7 +182,7 @@
 // finished, and the rest is cut when the grace is over.
 func (h *Host) Stop() {
 	h.log.Info("leaving")
-	end := time.Now().Add(h.cfg.Grace - stopMargin)
+	end := time.Now().Add(h.limits.Load().Grace - stopMargin)
 	h.leaving.Store(true)
 	h.lister.SetSelf(h.cfg.Self.Callers, false)
 	h.handler.Leave()
@@ -188,3 +204,6 @@
 
 // Rank returns the place of this host among those that are heard of.
 func (h *Host) Rank() int { return h.gossiper.Rank() }
+
+// Tally returns the host's metrics, which other parts may add to.
+func (h *Host) Tally() *tallier.Tallier { return &h.tally }
--- a/service/gatewayhost/recorder.go
+++ b/service/gatewayhost/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -10,19 +11,25 @@
 	"github.com/apex/log"
 
 	"gypsumbeam.example/gypsumbeam/pkg/logflags"
+	"gypsumbeam.example/gypsumbeam/pkg/tallier"
 	"gypsumbeam.example/gypsumbeam/service/gateway"
 )
 
-// The most lines a second for requests that were served and that failed.
+// The most lines a second for requests that were served and that failed. What
+// is left out is counted.
 const (
-	servedLines = 2000
-	failedLines = 200
+	servedLines = 5
+	failedLines = 50
 )
 
+// nobody stands for requests without a workspace, route or region.
+const nobody = "none"
+
 // recorder writes a line for each failed request and for a sample of the
-// others.
+// others, and counts all.
 type recorder struct {
-	log log.Interface
+	log   log.Interface
+	tally *tallier.Tallier
 
 	mu     sync.Mutex
 	second int64
@@ -30,33 +37,67 @@
 	failed int
 }
 
-func newRecorder() *recorder {
-	return &recorder{log: logflags.Logger(logflags.Callers)}
+func newRecorder(tally *tallier.Tallier) *recorder {
+	return &recorder{log: logflags.Logger(logflags.Callers), tally: tally}
 }
 
 // Record implements gateway.Recorder.
 func (r *recorder) Record(rec *gateway.Record) {
+	r.count(rec)
 	failed := rec.Reason != "" || rec.Status >= http.StatusInternalServerError || rec.CallerGone
 	if !r.take(failed) {
+		r.tally.Count("log", "requestsLeftOut")
 		return
 	}
-	var tries strings.Builder
-	for i, a := range rec.Attempts {
-		if i > 0 {
-			tries.WriteByte(';')
-		}
-		fmt.Fprintf(&tries, "%s,%s,warm=%t,expected=%d,took=%d,%s",
-			a.Target, a.Zone, a.Warm, a.Expected.Milliseconds(), a.Took.Milliseconds(), a.Result)
-	}
 	r.log.WithFields(log.Fields{
 		"id": rec.ID, "route": rec.Route, "service": string(rec.Service), "workspace": string(rec.Workspace),
 		"object": rec.Object, "status": rec.Status, "reason": rec.Reason, "version": rec.Version,
 		"confirmedAgoMs": rec.ConfirmedAgo.Milliseconds(), "leftMs": rec.Left.Milliseconds(),
 		"retryAfterMs": rec.RetryAfter.Milliseconds(), "ms": rec.Elapsed.Milliseconds(),
-		"attempts": tries.String(), "callerGone": rec.CallerGone,
+		"attempts": attempts(rec), "callerGone": rec.CallerGone,
 	}).Info("request")
 }
 
+// count adds the request to the metrics: whose it was, where it ran and what
+// became of it.
+func (r *recorder) count(rec *gateway.Record) {
+	workspace, route, region := orNobody(string(rec.Workspace)), orNobody(rec.Route), nobody
+	if n := len(rec.Attempts); n > 0 {
+		region = string(rec.Attempts[n-1].Region)
+		r.tally.Time(rec.Attempts[n-1].Took, "attempt", "service", orNobody(string(rec.Service)))
+	}
+	r.tally.Count("requests", "status", strconv.Itoa(rec.Status))
+	r.tally.Count("requests", "workspace", workspace, "region", region, "status", strconv.Itoa(rec.Status))
+	if rec.Reason != "" {
+		r.tally.Count("refused", rec.Reason, "workspace", workspace)
+	}
+	if len(rec.Attempts) > 1 {
+		r.tally.Count("retries", orNobody(string(rec.Service)))
+	}
+	r.tally.Time(rec.Elapsed, "latency", "route", route)
+	r.tally.Time(rec.Elapsed, "latency", "workspace", workspace)
+}
+
+func orNobody(name string) string {
+	if name == "" {
+		return nobody
+	}
+	return name
+}
+
+// attempts renders the sends of a request, in their order.
+func attempts(rec *gateway.Record) string {
+	var b strings.Builder
+	for i, a := range rec.Attempts {
+		if i > 0 {
+			b.WriteByte(';')
+		}
+		fmt.Fprintf(&b, "%s,%s,warm=%t,backlog=%.0f,expected=%d,took=%d,%s", a.Target, a.Zone, a.Warm,
+			a.Backlog, a.Expected.Milliseconds(), a.Took.Milliseconds(), a.Result)
+	}
+	return b.String()
+}
+
 // take reports whether a line may be written in this second.
 func (r *recorder) take(failed bool) bool {
 	r.mu.Lock()
