--- a/pkg/placer/pick.go
+++ b/pkg/placer/pick.go
@@ -51,6 +51,8 @@
 	Homes [][]ids.Region
 	// Avoid holds the targets that were tried before.
 	Avoid []ids.Target
+	// Left is the time that the request has.
+	Left time.Duration
 }
 
 // Choice is a target that was chosen. Done must be called once.
@@ -74,15 +76,31 @@
 	rank   int
 }
 
-// Pick chooses a target and counts the request in. It returns nil if there is
-// none that may get the request.
-func (p *Placer) Pick(w Want) *Choice {
+// ErrNoTarget says that no target may get the request.
+type ErrNoTarget struct{}
+
+// Error implements error.
+func (*ErrNoTarget) Error() string { return "no target may get the request" }
+
+// ErrBusy says that the targets are too busy to end the request in its time, or
+// that it would keep others from ending in theirs.
+type ErrBusy struct {
+	// Wait is the time after which room is expected.
+	Wait time.Duration
+}
+
+// Error implements error.
+func (e *ErrBusy) Error() string { return "the targets are busy" }
+
+// Pick chooses a target and counts the request in. Its error is an *ErrNoTarget
+// or an *ErrBusy.
+func (p *Placer) Pick(w Want) (*Choice, error) {
 	p.mu.RLock()
 	pl := p.services[w.Service]
 	evacuated := p.evacuated
 	p.mu.RUnlock()
 	if pl == nil {
-		return nil
+		return nil, &ErrNoTarget{}
 	}
 	now := time.Now()
 	pl.mu.Lock()
@@ -90,21 +108,65 @@
 	tm := pl.timesOf(w)
 	var best Choice
 	var bestScore time.Duration
+	shortest := time.Duration(-1)
 	for _, t := range pl.targets {
 		if evacuated[t.Zone] || !p.usable(pl, t, w, now) {
 			continue
 		}
 		c, score := p.score(pl, t, tm, w, now)
+		if shortest < 0 || c.Wait < shortest {
+			shortest = c.Wait
+		}
+		if !c.worthwhile() {
+			continue
+		}
 		if best.target == nil || score < bestScore {
 			best, bestScore = c, score
 		}
 	}
-	if best.target == nil {
-		return nil
+	switch {
+	case shortest < 0:
+		return nil, &ErrNoTarget{}
+	case best.target == nil:
+		return nil, &ErrBusy{Wait: pl.nextReturn(shortest, now)}
 	}
 	best.begin(pl, now)
 	p.starts.add(best.target.short, w.Object)
-	return &best
+	return &best, nil
+}
+
+// worthwhile reports whether the request should go to this target. Where others
+// wait before it, a request that would be late anyway only makes those behind it
+// late too, and work on an object that is not warm takes the time of several
+// others.
+func (c *Choice) worthwhile() bool {
+	finish := c.Wait + c.Work + c.way
+	if c.want.Left > 0 && finish > c.want.Left {
+		return c.Wait == 0 // The expectation may be wrong, and nobody waits.
+	}
+	return true
+}
+
+// The bounds of the times told to refused callers.
+const (
+	shortestReturn = 100 * time.Millisecond
+	longestReturn  = 2 * time.Second
+)
+
+// nextReturn gives each refused caller a time of its own, at the rate at which
+// the targets end requests. The caller holds the lock.
+func (pl *pool) nextReturn(wait time.Duration, now time.Time) time.Duration {
+	slots := 0
+	for _, t := range pl.targets {
+		slots += t.Slots
+	}
+	first := now.Add(max(wait, shortestReturn))
+	if pl.returnAt.Before(first) {
+		pl.returnAt = first
+	} else {
+		pl.returnAt = pl.returnAt.Add(pl.work / time.Duration(max(slots, 1)))
+	}
+	return min(pl.returnAt.Sub(now), longestReturn)
 }
 
 // timesOf returns the learned times of a class. The caller holds the lock.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -45,6 +45,8 @@
 	kept float64
 	// coldRate is what a cold target bears, in requests a second.
 	coldRate float64
+	// returnAt is when the last refused caller was told to come back.
+	returnAt time.Time
 }
 
 // New returns a Placer that knows no target.
--- a/service/gateway/ports.go
+++ b/service/gateway/ports.go
@@ -74,7 +74,8 @@
 
 // Placer chooses targets.
 type Placer interface {
-	Pick(w placer.Want) *placer.Choice
+	// Pick's error is a *placer.ErrNoTarget or a *placer.ErrBusy.
+	Pick(w placer.Want) (*placer.Choice, error)
 }
 
 // Quota holds workspaces to their rates over all hosts.
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -50,17 +50,19 @@
 	notRun := true
 	var avoid []ids.Target
 	var last *result
+	var refused error
 	for n := 0; n < q.route.MaxAttempts; n++ {
 		if n > 0 && !q.mayRetry(ctx, notRun) {
 			break
 		}
-		choice := q.h.cfg.Placer.Pick(q.want(avoid))
-		if choice == nil {
+		choice, err := q.h.cfg.Placer.Pick(q.want(avoid))
+		if err != nil {
+			refused = err
 			break
 		}
 		if !q.stillAllowed() {
 			choice.Done(placer.Outcome{})
-			q.giveUp(ctx, notRun, "unconfirmed")
+			q.giveUp(ctx, notRun, "unconfirmed", retryUnready)
 			return
 		}
 		res := q.attempt(ctx, choice)
@@ -82,10 +84,18 @@
 		return
 	}
 	reason := "noTarget"
-	if last != nil {
+	var busy *placer.ErrBusy
+	switch {
+	case last != nil:
 		reason = last.word
+	case errors.As(refused, &busy):
+		reason = "busy"
+	}
+	wait := retryTarget
+	if errors.As(refused, &busy) {
+		wait = busy.Wait
 	}
-	q.giveUp(ctx, notRun, reason)
+	q.giveUp(ctx, notRun, reason, wait)
 }
 
 func (q *request) want(avoid []ids.Target) placer.Want {
@@ -96,6 +106,7 @@
 		KiB:       max(float64(q.r.ContentLength), 0) / 1024,
 		Homes:     [][]ids.Region{q.route.Homes},
 		Avoid:     avoid,
+		Left:      q.record.Left - time.Since(q.begun),
 	}
 	if q.ws != nil {
 		w.Homes = append(w.Homes, q.ws.Homes)
@@ -336,7 +347,7 @@
 }
 
 // giveUp answers a request that no target answered.
-func (q *request) giveUp(ctx context.Context, notRun bool, reason string) {
+func (q *request) giveUp(ctx context.Context, notRun bool, reason string, wait time.Duration) {
 	rf := &rejection{status: http.StatusBadGateway, reason: reason}
 	switch {
 	case reason == "bodyTooLarge":
@@ -345,7 +356,7 @@
 		rf.status = http.StatusBadRequest
 	case notRun:
 		rf.status = http.StatusServiceUnavailable
-		rf.retryAfter = retryTarget
+		rf.retryAfter = wait
 	case ctx.Err() != nil:
 		rf.status = http.StatusGatewayTimeout
 	}
