service/siblings: an answer to an earlier process proves nothing

Ruled out: a chain of hosts that are cut off (their proofs age). Change: clocks start at random readings, and an echo outside the own process's time is ignored. TestAnswerToAPredecessorProvesNothing failed before. A proof of an older version than the own one counts now, as it is no weaker.

--- a/service/siblings/siblings.go
+++ b/service/siblings/siblings.go
@@ -5,6 +5,8 @@
 package siblings
 
 import (
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -29,6 +31,8 @@
 	maxStarts = 60
 	// maxDatagram is the longest message that is read.
 	maxDatagram = 8 << 10
+	// maxOrigin bounds the random start of a clock, and leaves room for years.
+	maxOrigin = math.MaxInt64 / 2
 	// silentTime is how long a host may say nothing before callers are no longer
 	// sent to it.
 	silentTime = 1200 * time.Millisecond
@@ -102,7 +106,10 @@
 type Gossiper struct {
 	cfg   Config
 	begun confirmer.Stamp
-	done  chan struct{}
+	// origin is the reading of this process's clock at its start. It is random,
+	// so that an answer to an earlier process at this address is known as such.
+	origin int64
+	done   chan struct{}
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -126,7 +133,7 @@
 // New returns a Gossiper that does not run yet.
 func New(cfg Config) *Gossiper {
 	return &Gossiper{
-		cfg: cfg, begun: cfg.Confirmer.Stamp(), done: make(chan struct{}),
+		cfg: cfg, begun: cfg.Confirmer.Stamp(), origin: rand.Int64N(maxOrigin), done: make(chan struct{}),
 		peers: make(map[string]*peer),
 	}
 }
@@ -134,8 +141,8 @@
 // Done is closed once Receive has returned.
 func (g *Gossiper) Done() <-chan struct{} { return g.done }
 
-// clock returns the time since this host started, suspensions included.
-func (g *Gossiper) clock() int64 { return int64(g.cfg.Confirmer.Stamp().Since(g.begun)) }
+// clock returns this process's clock, which counts suspensions.
+func (g *Gossiper) clock() int64 { return g.origin + int64(g.cfg.Confirmer.Stamp().Since(g.begun)) }
 
 // Tick sends what is due. It is to be called about every nearInterval.
 func (g *Gossiper) Tick() {
@@ -270,11 +277,14 @@
 // time for which the other host held that. So the proof is not older than this
 // host can tell by its own clock.
 func (g *Gossiper) confirm(m *message) {
-	if m.Age < 0 || m.Echo == 0 || m.Held < 0 || m.Version == 0 || m.Version != g.cfg.State.Version() {
+	if m.Age < 0 || m.Held < 0 || m.Version == 0 || m.Version > g.cfg.State.Version() {
 		return
 	}
-	at := m.Echo + m.Held - m.Age
-	g.cfg.Confirmer.Confirm(g.begun.Add(time.Duration(at)))
+	answered := m.Echo + m.Held
+	if m.Echo < g.origin || answered > g.clock() {
+		return // It answers another process.
+	}
+	g.cfg.Confirmer.Confirm(g.begun.Add(time.Duration(answered - m.Age - g.origin)))
 }
 
 func (g *Gossiper) absorb(m *message) {
--- /dev/null
+++ b/service/siblings/siblings_test.go
@@ -0,0 +1,301 @@
+package siblings_test
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gypsumbeam.example/gypsumbeam/pkg/allotter"
+	"gypsumbeam.example/gypsumbeam/pkg/confirmer"
+	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/lister"
+	"gypsumbeam.example/gypsumbeam/pkg/logflags"
+	"gypsumbeam.example/gypsumbeam/pkg/placer"
+	"gypsumbeam.example/gypsumbeam/pkg/registrar"
+	"gypsumbeam.example/gypsumbeam/service/siblings"
+)
+
+// wire carries datagrams between hosts with a delay. Its cut links lose them.
+type wire struct {
+	delay time.Duration
+
+	mu   sync.Mutex
+	ends map[string]*end
+	cut  map[string]bool
+}
+
+// datagram is one message on its way.
+type datagram struct {
+	from net.Addr
+	text []byte
+}
+
+// end is one host's net.PacketConn.
+type end struct {
+	w      *wire
+	addr   net.Addr
+	in     chan datagram
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (w *wire) open(address string) *end {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := &end{
+		w: w, addr: net.UDPAddrFromAddrPort(netip.MustParseAddrPort(address)),
+		in: make(chan datagram, 100), closed: make(chan struct{}),
+	}
+	w.ends[address] = e
+	return e
+}
+
+func (e *end) ReadFrom(p []byte) (int, net.Addr, error) {
+	select {
+	case d := <-e.in:
+		return copy(p, d.text), d.from, nil
+	case <-e.closed:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+func (e *end) WriteTo(p []byte, to net.Addr) (int, error) {
+	text := append([]byte(nil), p...)
+	time.AfterFunc(e.w.delay, func() {
+		e.w.mu.Lock()
+		defer e.w.mu.Unlock()
+		if o := e.w.ends[to.String()]; o != nil && !e.w.cut[to.String()] && !e.w.cut[e.addr.String()] {
+			o.in <- datagram{e.addr, text}
+		}
+	})
+	return len(p), nil
+}
+
+func (e *end) Close() error {
+	e.once.Do(func() { close(e.closed) })
+	return nil
+}
+
+func (e *end) LocalAddr() net.Addr              { return e.addr }
+func (e *end) SetDeadline(time.Time) error      { return nil }
+func (e *end) SetReadDeadline(time.Time) error  { return nil }
+func (e *end) SetWriteDeadline(time.Time) error { return nil }
+
+// host is one host with what it believes.
+type host struct {
+	self      lister.Host
+	conn      *end
+	confirmed *confirmer.Confirmer
+	placer    *placer.Placer
+	allotter  *allotter.Allotter
+	gossiper  *siblings.Gossiper
+	version   atomic.Uint64
+	stop      chan struct{}
+	once      sync.Once
+}
+
+func (h *host) Version() uint64       { return h.version.Load() }
+func (h *host) Revision() uint64      { return 1 }
+func (h *host) Behind(uint64, uint64) {}
+
+// fleet is hosts that know each other by a list, as the platform tells it.
+type fleet struct {
+	wire  *wire
+	hosts map[string]*host
+	// outdated, where set, stands in the list for the host at its address.
+	outdated *lister.Host
+}
+
+// withFleet runs f on the virtual clock with two hosts.
+func withFleet(t *testing.T, delay time.Duration, f func(fl *fleet, a, b *host)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		fl := &fleet{
+			wire:  &wire{delay: delay, ends: make(map[string]*end), cut: make(map[string]bool)},
+			hosts: make(map[string]*host),
+		}
+		a, b := fl.start("10.0.0.1:1", "a1"), fl.start("10.0.0.2:1", "b1")
+		time.Sleep(time.Second)
+		defer func() {
+			for _, h := range fl.hosts {
+				h.end()
+			}
+		}()
+		f(fl, a, b)
+	})
+}
+
+func (fl *fleet) list() []lister.Host {
+	fl.wire.mu.Lock()
+	defer fl.wire.mu.Unlock()
+	var all []lister.Host
+	for _, h := range fl.hosts {
+		self := h.self
+		if fl.outdated != nil && fl.outdated.Callers == self.Callers {
+			self = *fl.outdated
+		}
+		all = append(all, self)
+	}
+	return all
+}
+
+// start starts a host, in place of the one that had its address.
+func (fl *fleet) start(address string, instance ids.Instance) *host {
+	h := &host{
+		self:      lister.Host{Instance: instance, Callers: address, Siblings: address, Zone: "z", Region: "r"},
+		conn:      fl.wire.open(address),
+		confirmed: &confirmer.Confirmer{},
+		placer:    placer.New(placer.Config{Zone: "z"}),
+		allotter:  &allotter.Allotter{},
+		stop:      make(chan struct{}),
+	}
+	h.version.Store(7)
+	h.placer.SetTargets([]registrar.Target{{ID: "t", Service: "s", Address: "10.1.0.1:1", Slots: 2, Zone: "z"}})
+	h.gossiper = siblings.New(siblings.Config{
+		Self: h.self, Conn: h.conn, Hosts: fl.list, Ready: func() bool { return true }, State: h,
+		Confirmer: h.confirmed, Placer: h.placer, Allotter: h.allotter, Log: logflags.Logger(logflags.Peers),
+	})
+	fl.wire.mu.Lock()
+	fl.hosts[address] = h
+	fl.wire.mu.Unlock()
+	go h.gossiper.Receive()
+	go h.run()
+	return h
+}
+
+func (h *host) run() {
+	t := time.NewTicker(100 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			h.gossiper.Tick()
+		case <-h.stop:
+			return
+		}
+	}
+}
+
+func (h *host) end() {
+	h.once.Do(func() { close(h.stop) })
+	_ = h.conn.Close() // It always returns nil.
+	<-h.gossiper.Done()
+}
+
+// A proof that one host got counts at the other, and is never younger there than
+// it is.
+func TestProofIsHandedOnWithItsAge(t *testing.T) {
+	for _, delay := range []time.Duration{0, 30 * time.Millisecond, 900 * time.Millisecond} {
+		withFleet(t, delay, func(_ *fleet, a, b *host) {
+			is := is.New(t)
+			asked := time.Now()
+			stamp := a.confirmed.Stamp()
+			time.Sleep(10 * time.Millisecond)
+			a.confirmed.Confirm(stamp)
+			for range 80 {
+				time.Sleep(50 * time.Millisecond)
+				if age, ok := b.confirmed.Age(); ok {
+					is.True(age >= time.Since(asked))
+				}
+			}
+			age, ok := b.confirmed.Age()
+			is.True(ok)
+			is.True(age <= time.Since(asked)+2*delay+300*time.Millisecond)
+		})
+	}
+}
+
+// A host that restarted gets answers to what its predecessor sent. They prove
+// nothing: the clocks of two processes have nothing to do with each other.
+func TestAnswerToAPredecessorProvesNothing(t *testing.T) {
+	withFleet(t, 10*time.Millisecond, func(fl *fleet, a, b *host) {
+		is := is.New(t)
+		a.confirmed.Confirm(a.confirmed.Stamp())
+		proved := time.Now()
+		time.Sleep(8 * time.Second)
+		b.end()
+		// The other host does not know yet that it speaks to a new process.
+		fl.outdated = &b.self
+		b = fl.start("10.0.0.2:1", "b2")
+		for range 40 {
+			time.Sleep(50 * time.Millisecond)
+			if age, ok := b.confirmed.Age(); ok {
+				is.True(age >= time.Since(proved)) // the proof at the new process
+			}
+		}
+	})
+}
+
+// A proof of a newer version says nothing of the own one; a proof of an older one
+// says that the own one was new enough.
+func TestProofOfANewerVersionDoesNotCount(t *testing.T) {
+	withFleet(t, 0, func(_ *fleet, a, b *host) {
+		is := is.New(t)
+		b.version.Store(6)
+		a.confirmed.Confirm(a.confirmed.Stamp())
+		time.Sleep(time.Second)
+		_, ok := b.confirmed.Age()
+		is.True(!ok)
+		b.version.Store(8)
+		time.Sleep(time.Second)
+		_, ok = b.confirmed.Age()
+		is.True(ok)
+	})
+}
+
+// Two hosts that hear only each other cannot keep a proof young.
+func TestProofAgesBetweenHostsThatAreCutOff(t *testing.T) {
+	withFleet(t, 20*time.Millisecond, func(_ *fleet, a, b *host) {
+		is := is.New(t)
+		a.confirmed.Confirm(a.confirmed.Stamp())
+		time.Sleep(10 * time.Second)
+		for _, h := range []*host{a, b} {
+			age, ok := h.confirmed.Age()
+			is.True(ok)
+			is.True(age >= 10*time.Second)
+		}
+	})
+}
+
+// What a host has at targets is known to the others within moments.
+func TestRequestsAtTargetsAreTold(t *testing.T) {
+	withFleet(t, 10*time.Millisecond, func(_ *fleet, a, b *host) {
+		is := is.New(t)
+		w := placer.Want{Service: "s", Class: "c", Object: placer.NameObject("c", "o"), Objective: time.Second, Left: time.Minute}
+		for range 5 {
+			_, err := a.placer.Pick(w)
+			is.NoErr(err)
+		}
+		time.Sleep(250 * time.Millisecond)
+		c, err := b.placer.Pick(w)
+		is.NoErr(err)
+		is.Equal(c.Backlog, 5.0)
+		is.True(c.Warm)
+	})
+}
+
+// A host that says nothing any more gets no callers; one that hears nobody cannot
+// tell who is silent from being cut off itself.
+func TestSilentHostsAreKnown(t *testing.T) {
+	withFleet(t, 0, func(fl *fleet, a, b *host) {
+		is := is.New(t)
+		is.Equal(len(a.gossiper.Silent()), 0)
+		fl.wire.mu.Lock()
+		fl.wire.cut["10.0.0.2:1"] = true
+		fl.wire.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		is.True(a.gossiper.Silent()["10.0.0.2:1"])
+		is.True(b.gossiper.Silent()["10.0.0.1:1"])
+		fl.wire.mu.Lock()
+		fl.wire.cut = map[string]bool{}
+		fl.wire.mu.Unlock()
+		time.Sleep(time.Second)
+		is.Equal(len(a.gossiper.Silent()), 0)
+	})
+}
