pkg/placer: slot time of cold work is charged under pressure

Change: work beyond that of a warm object is charged by the part of the slots that is taken. The race that the siblings test had with its own list is mended.

--- a/pkg/placer/pick.go
+++ b/pkg/placer/pick.go
@@ -29,6 +29,10 @@
 	failureCharge = 2 * time.Second
 )
 
+// pressureCharge is what slot time beyond that of warm work is charged when all
+// slots are taken: the requests behind it pay for it.
+const pressureCharge = 1.0
+
 // firstUseCredit is taken off for a target that nobody has used yet, so that it
 // begins to carry its part.
 const firstUseCredit = time.Second
@@ -109,11 +113,14 @@
 	var best Choice
 	var bestScore time.Duration
 	shortest := time.Duration(-1)
+	var held, slots float64
 	for _, t := range pl.targets {
 		if evacuated[t.Zone] || !p.usable(pl, t, w, now) {
 			continue
 		}
 		c, score := p.score(pl, t, tm, w, now)
+		held += c.Backlog
+		slots += float64(t.Slots)
 		if shortest < 0 || c.Wait < shortest {
 			shortest = c.Wait
 		}
@@ -124,6 +131,7 @@
 			best, bestScore = c, score
 		}
 	}
+	pl.pressure = held / max(slots, 1)
 	switch {
 	case shortest < 0:
 		return nil, &ErrNoTarget{}
@@ -233,6 +241,7 @@
 	var charge time.Duration
 	c.way, charge = p.distance(t, w)
 	total := c.Wait + c.Work + c.way + charge
+	total += time.Duration(pl.pressure * float64(c.Work-tm.warm) * pressureCharge)
 	total += time.Duration(t.failures * float64(failureCharge))
 	if t.unused(now) {
 		total -= firstUseCredit
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -45,6 +45,9 @@
 	kept float64
 	// coldRate is what a cold target bears, in requests a second.
 	coldRate float64
+	// pressure is the part of the slots that was taken at the last choice; more
+	// than 1 where requests wait.
+	pressure float64
 	// returnAt is when the last refused caller was told to come back.
 	returnAt time.Time
 }
--- a/service/siblings/siblings_test.go
+++ b/service/siblings/siblings_test.go
@@ -221,7 +221,9 @@
 		time.Sleep(8 * time.Second)
 		b.end()
 		// The other host does not know yet that it speaks to a new process.
+		fl.wire.mu.Lock()
 		fl.outdated = &b.self
+		fl.wire.mu.Unlock()
 		b = fl.start("10.0.0.2:1", "b2")
 		for range 40 {
 			time.Sleep(50 * time.Millisecond)
