service/siblings, pkg/placer: shorter messages; sizes of answers count

Hosts name workspaces by a short hash and tell only of those in use; what an answer weighs on its way over zones and regions is learned by route. The charge for cold work under pressure is doubled. What a crossing costs differs by deployment (45,000 and 7,000 a GB), and the settings do not tell it.

--- a/pkg/allotter/allotter.go
+++ b/pkg/allotter/allotter.go
@@ -6,6 +6,7 @@
 package allotter
 
 import (
+	"hash/fnv"
 	"sync"
 	"time"
 
@@ -17,6 +18,8 @@
 	// scarceLevel is the part of the burst below which hosts keep to their
 	// parts: above it the lag of what they tell each other does no harm.
 	scarceLevel = 0.5
+	// leastDemand, in requests a second, is what is worth telling.
+	leastDemand = 0.1
 	// heardLife is how long a host counts as heard of.
 	heardLife = 600 * time.Millisecond
 	// demandTime is the time over which demand is averaged.
@@ -27,9 +30,19 @@
 	longestReturn = 5 * time.Second
 )
 
+// Name is the short name of a workspace by which hosts tell of it.
+type Name uint32
+
+// NameOf returns the short name of a workspace.
+func NameOf(w ids.Workspace) Name {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(w)) // It never fails.
+	return Name(h.Sum32())
+}
+
 // Usage is what one host tells of a workspace.
 type Usage struct {
-	Workspace ids.Workspace
+	Workspace Name
 	// Admitted counts the requests that the host has admitted since its start.
 	Admitted uint64
 	// Demand is what callers ask of the host, in requests a second.
@@ -44,7 +57,7 @@
 	Members func() int
 
 	mu      sync.Mutex
-	buckets map[ids.Workspace]*bucket
+	buckets map[Name]*bucket
 	// heard holds when each other host was last heard of.
 	heard map[ids.Instance]time.Time
 }
@@ -107,11 +120,11 @@
 }
 
 // bucket returns the bucket of w, brought to now. The caller holds the lock.
-func (a *Allotter) bucket(name ids.Workspace, l limit, now time.Time) *bucket {
+func (a *Allotter) bucket(name Name, l limit, now time.Time) *bucket {
 	b := a.buckets[name]
 	if b == nil {
 		if a.buckets == nil {
-			a.buckets = make(map[ids.Workspace]*bucket)
+			a.buckets = make(map[Name]*bucket)
 		}
 		// A host that has just started does not know what was used before.
 		b = &bucket{at: now, peers: make(map[ids.Instance]*Usage)}
@@ -144,7 +157,7 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.bucket(w.Name, a.limit(w, now), now)
+	a.bucket(NameOf(w.Name), a.limit(w, now), now)
 }
 
 // Admit takes one request of w. Where it is over the limit, Admit returns the
@@ -157,7 +170,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	l := a.limit(w, now)
-	b := a.bucket(w.Name, l, now)
+	b := a.bucket(NameOf(w.Name), l, now)
 	b.demand.add(now)
 	scarce := b.tokens < l.burst*scarceLevel
 	if b.tokens >= 1 && (!scarce || b.allowance >= 1) {
@@ -197,9 +210,10 @@
 	var all []Usage
 	for name, b := range a.buckets {
 		b.demand.decay(now)
-		if b.admitted == 0 && b.demand.rate == 0 {
+		if b.admitted == b.told && b.demand.rate < leastDemand {
 			continue
 		}
+		b.told = b.admitted
 		all = append(all, Usage{name, b.admitted, b.demand.rate})
 	}
 	return all
--- a/pkg/placer/pick.go
+++ b/pkg/placer/pick.go
@@ -31,7 +31,7 @@
 
 // pressureCharge is what slot time beyond that of warm work is charged when all
 // slots are taken: the requests behind it pay for it.
-const pressureCharge = 1.0
+const pressureCharge = 2.0
 
 // firstUseCredit is taken off for a target that nobody has used yet, so that it
 // begins to carry its part.
@@ -239,7 +239,7 @@
 		c.Wait = time.Duration(ahead / slots * float64(max(pl.work, tm.warm)))
 	}
 	var charge time.Duration
-	c.way, charge = p.distance(t, w)
+	c.way, charge = p.distance(t, w.KiB+tm.kib)
 	total := c.Wait + c.Work + c.way + charge
 	total += time.Duration(pl.pressure * float64(c.Work-tm.warm) * pressureCharge)
 	total += time.Duration(t.failures * float64(failureCharge))
@@ -250,16 +250,16 @@
 	return c, total
 }
 
-// distance returns the time to the target and back, and what crossing is
-// charged.
-func (p *Placer) distance(t *target, w Want) (way, charge time.Duration) {
+// distance returns the time to the target and back, and what crossing with so
+// many KiB is charged.
+func (p *Placer) distance(t *target, kib float64) (way, charge time.Duration) {
 	switch {
 	case t.Zone == p.cfg.Zone:
 		return sameZone, 0
 	case t.region == p.cfg.Regions[p.cfg.Zone]:
-		return otherZone, zoneCharge + time.Duration(w.KiB*float64(zoneByteCharge))
+		return otherZone, zoneCharge + time.Duration(kib*float64(zoneByteCharge))
 	default:
-		return otherRegion, regionCharge + time.Duration(w.KiB*float64(regionByteCharge))
+		return otherRegion, regionCharge + time.Duration(kib*float64(regionByteCharge))
 	}
 }
 
@@ -295,6 +295,8 @@
 	HasLoad bool
 	// ColdFor is how long the target says that it stays cold.
 	ColdFor time.Duration
+	// KiB is the size of the answer.
+	KiB float64
 }
 
 // Done counts the request out and learns from its outcome.
@@ -322,6 +324,8 @@
 	case o.Answered:
 		t.ejections = 0
 		t.failures -= gain * t.failures
+		tm := pl.timesOf(c.want)
+		tm.kib += gain * (o.KiB - tm.kib)
 		c.learn(pl, now.Sub(c.sent)-c.way)
 	}
 }
--- a/pkg/placer/target.go
+++ b/pkg/placer/target.go
@@ -88,9 +88,11 @@
 	t.ejected = now.Add(d)
 }
 
-// times holds how long the work of one class of requests takes.
+// times holds how long the work of one class of requests takes, and how long its
+// answers are.
 type times struct {
 	warm, cold time.Duration
+	kib        float64
 }
 
 // learn takes a measurement into a moving average.
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -206,6 +206,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(res.resp.Body, wholeBytes+1))
 	res.body = body
+	res.outcome.KiB = float64(len(body)) / 1024
 	switch {
 	case err != nil:
 		res.usable = false
--- a/service/siblings/siblings.go
+++ b/service/siblings/siblings.go
@@ -74,7 +74,7 @@
 
 type usage struct {
 	_         struct{} `cbor:",toarray"`
-	Workspace ids.Workspace
+	Workspace uint32
 	Admitted  uint64
 	Demand    uint32
 }
@@ -205,7 +205,7 @@
 func (g *Gossiper) usages() []usage {
 	var all []usage
 	for _, u := range g.cfg.Allotter.Usages() {
-		all = append(all, usage{Workspace: u.Workspace, Admitted: u.Admitted, Demand: uint32(u.Demand + 0.5)})
+		all = append(all, usage{Workspace: uint32(u.Workspace), Admitted: u.Admitted, Demand: uint32(u.Demand + 0.5)})
 	}
 	return all
 }
@@ -298,7 +298,7 @@
 	}
 	usages := make([]allotter.Usage, 0, len(m.Usages))
 	for _, u := range m.Usages {
-		usages = append(usages, allotter.Usage{Workspace: u.Workspace, Admitted: u.Admitted, Demand: float64(u.Demand)})
+		usages = append(usages, allotter.Usage{Workspace: allotter.Name(u.Workspace), Admitted: u.Admitted, Demand: float64(u.Demand)})
 	}
 	g.cfg.Placer.Absorb(m.From, run, starts)
 	g.cfg.Allotter.Absorb(m.From, usages)
