pkg/placer: tests of load patterns; slow targets told from objects not warm; gypsumctl: faults name their file

Tests found: a target that worked five times slower kept its objects (its answers were taken for objects that were not warm), and a first request with a large body went to an unused target of another region. Both failed before the change.

--- a/cmd/gypsumctl/cmds/document.go
+++ b/cmd/gypsumctl/cmds/document.go
@@ -13,11 +13,7 @@
 )
 
 func (s *subcommand) check(file string) error {
-	text, err := s.read(file)
-	if err != nil {
-		return err
-	}
-	doc, err := parser.Parse(text)
+	_, doc, err := s.parse(file)
 	if err != nil {
 		return err
 	}
@@ -33,11 +29,7 @@
 
 // diff compares the document with the newest one that a host knows.
 func (s *subcommand) diff(ctx context.Context) error {
-	text, err := s.read(s.args.Diff.File)
-	if err != nil {
-		return err
-	}
-	after, err := parser.Parse(text)
+	_, after, err := s.parse(s.args.Diff.File)
 	if err != nil {
 		return err
 	}
@@ -81,13 +73,10 @@
 }
 
 func (s *subcommand) apply(ctx context.Context) error {
-	text, err := s.read(s.args.Apply.File)
+	text, _, err := s.parse(s.args.Apply.File)
 	if err != nil {
 		return err
 	}
-	if _, err := parser.Parse(text); err != nil {
-		return err
-	}
 	applied, err := s.client.Apply(ctx, text, s.args.Apply.Base)
 	if err != nil {
 		return err
--- a/cmd/gypsumctl/cmds/run.go
+++ b/cmd/gypsumctl/cmds/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"gypsumbeam.example/gypsumbeam/pkg/config"
 	"gypsumbeam.example/gypsumbeam/pkg/decoder"
 	"gypsumbeam.example/gypsumbeam/pkg/parser"
 	"gypsumbeam.example/gypsumbeam/service/operators"
@@ -257,3 +258,17 @@
 	}
 	return os.ReadFile(file)
 }
+
+// parse reads and checks the document in a file. Its faults name the file.
+func (s *subcommand) parse(file string) ([]byte, *config.Document, error) {
+	text, err := s.read(file)
+	if err != nil {
+		return nil, nil, err
+	}
+	doc, err := parser.Parse(text)
+	var faults *parser.ErrFaults
+	if errors.As(err, &faults) {
+		faults.File = file
+	}
+	return text, doc, err
+}
--- a/cmd/gypsumd/cmds/run.go
+++ b/cmd/gypsumd/cmds/run.go
@@ -116,7 +116,7 @@
 		return
 	}
 	for _, f := range faults.Faults {
-		say(w, file, ": ", f)
+		say(w, f.In(file))
 	}
 }
 
--- a/pkg/decoder/fault.go
+++ b/pkg/decoder/fault.go
@@ -29,8 +29,20 @@
 	return fmt.Sprintf("line %d, column %d: %s: %s", f.Line, f.Column, f.Path, f.Message)
 }
 
+// In returns the fault as one line that begins with its place in a file, in the
+// form that editors follow: file:line:column.
+func (f Fault) In(file string) string {
+	place := fmt.Sprintf("%s:%d:%d: ", file, f.Line, f.Column)
+	if f.Path == "" {
+		return place + f.Message
+	}
+	return place + f.Path + ": " + f.Message
+}
+
 // ErrFaults holds all faults of one text, in the order of their places.
 type ErrFaults struct {
+	// File is the name of the text's file, empty if it is not known.
+	File string
 	Faults []Fault
 	// More says that there are MaxFaults faults, and that more may follow.
 	More bool
@@ -40,7 +52,11 @@
 func (e *ErrFaults) Error() string {
 	lines := make([]string, 0, len(e.Faults))
 	for _, f := range e.Faults {
-		lines = append(lines, f.String())
+		if e.File != "" {
+			lines = append(lines, f.In(e.File))
+		} else {
+			lines = append(lines, f.String())
+		}
 	}
 	if e.More {
 		lines = append(lines, "more faults may follow")
--- a/pkg/placer/pick.go
+++ b/pkg/placer/pick.go
@@ -34,7 +34,8 @@
 const pressureCharge = 2.0
 
 // firstUseCredit is taken off for a target that nobody has used yet, so that it
-// begins to carry its part.
+// begins to carry its part. Requests with bodies are left out: they cost more to
+// send far.
 const firstUseCredit = time.Second
 
 // coldStartFactor is how much longer a target takes while it is cold.
@@ -243,7 +244,7 @@
 	total := c.Wait + c.Work + c.way + charge
 	total += time.Duration(pl.pressure * float64(c.Work-tm.warm) * pressureCharge)
 	total += time.Duration(t.failures * float64(failureCharge))
-	if t.unused(now) {
+	if w.KiB == 0 && t.unused(now) {
 		total -= firstUseCredit
 	}
 	total += time.Duration(spread(w.Object, t.short) * float64(spreadCharge))
@@ -350,13 +351,19 @@
 	}
 	c.learnKept(pl, fast)
 	expected := tm.cold
-	if fast {
+	if fast || c.surelyWarm(pl) {
 		expected = tm.warm
 	}
 	ratio := min(max(took.Seconds()/max(expected.Seconds(), 1e-3), 0.5), 8)
 	t.slowness = min(max(t.slowness+gain*(ratio-t.slowness), 0.5), 8)
 }
 
+// surelyWarm reports whether the object was served so lately that a slow answer
+// tells of the target, not of the object. The caller holds the lock.
+func (c *Choice) surelyWarm(pl *pool) bool {
+	return c.rank >= 0 && float64(c.rank) < pl.kept/2
+}
+
 // learnKept corrects the number of objects that targets keep warm. The caller
 // holds the lock.
 func (c *Choice) learnKept(pl *pool, fast bool) {
--- /dev/null
+++ b/pkg/placer/placer_test.go
@@ -0,0 +1,386 @@
+package placer_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/placer"
+	"gypsumbeam.example/gypsumbeam/pkg/registrar"
+)
+
+// The times of the work that the tests ask for: an object that is warm takes a
+// third of one that is not.
+const (
+	objective = 400 * time.Millisecond
+	warmWork  = 190 * time.Millisecond
+	coldWork  = 640 * time.Millisecond
+	slots     = 4
+)
+
+var regions = map[ids.Zone]ids.Region{"e1": "east", "e2": "east", "w1": "west"}
+
+// newPlacer returns a placer at a host of zone e1 with n targets in each of zones.
+func newPlacer(n int, zones ...ids.Zone) (*placer.Placer, []registrar.Target) {
+	var all []registrar.Target
+	for _, z := range zones {
+		for i := range n {
+			all = append(all, registrar.Target{
+				ID: ids.Target(fmt.Sprintf("%s-%d", z, i)), Service: "s", Zone: z, Slots: slots,
+				Address: fmt.Sprintf("10.0.%d.%d:80", len(all), i),
+			})
+		}
+	}
+	p := placer.New(placer.Config{Zone: "e1", Regions: regions})
+	p.SetTargets(all)
+	return p, all
+}
+
+func want(object string) placer.Want {
+	return placer.Want{
+		Service: "s", Class: "look-up", Object: placer.NameObject("look-up", object),
+		Objective: objective, Left: 3 * time.Second,
+	}
+}
+
+func pick(t *testing.T, p *placer.Placer, w placer.Want) *placer.Choice {
+	t.Helper()
+	c, err := p.Pick(w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// serve runs one request to its end.
+func serve(t *testing.T, p *placer.Placer, w placer.Want, d time.Duration) *placer.Choice {
+	t.Helper()
+	c := pick(t, p, w)
+	time.Sleep(d)
+	c.Done(placer.Outcome{Answered: true})
+	return c
+}
+
+// Objects that are asked for again and again stay where they are warm.
+func TestSkewedObjectsStayWhereTheyAreWarm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _ := newPlacer(4, "e1", "e2", "w1")
+		first := make(map[string]ids.Target)
+		for round := range 5 {
+			for o := range 20 {
+				object := fmt.Sprint(o)
+				d := warmWork
+				if round == 0 {
+					d = coldWork
+				}
+				c := serve(t, p, want(object), d)
+				if round == 0 {
+					first[object] = c.ID
+				}
+				is.Equal(c.ID, first[object])
+				is.Equal(c.Warm, round > 0)
+			}
+		}
+	})
+}
+
+// A short queue at a warm target is better than cold work elsewhere; a long one
+// is not.
+func TestQueueAtTheWarmTargetIsWeighedAgainstColdWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _ := newPlacer(2, "e1")
+		for o := range 2 {
+			serve(t, p, want(fmt.Sprint(o)), coldWork) // Both targets are in use.
+		}
+		home := serve(t, p, want("a"), coldWork).ID
+		serve(t, p, want("a"), warmWork)
+		elsewhere := 0
+		for n := range 40 {
+			c := pick(t, p, want("a"))
+			if c.ID != home {
+				elsewhere++
+			}
+			if n < slots+2 {
+				is.Equal(c.ID, home) // a short queue
+			}
+		}
+		is.True(elsewhere > 5) // a long queue
+	})
+}
+
+// The one target of a zone does not get what it cannot end in time: the other
+// zone and region take it.
+func TestOneTargetInTheZoneIsNotOverrun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := placer.New(placer.Config{Zone: "e1", Regions: regions})
+		all := []registrar.Target{{ID: "only", Service: "s", Zone: "e1", Slots: slots, Address: "10.0.0.1:80"}}
+		for i := range 4 {
+			all = append(all, registrar.Target{
+				ID: ids.Target(fmt.Sprint("far", i)), Service: "s", Zone: "w1", Slots: slots, Address: fmt.Sprintf("10.0.1.%d:80", i),
+			})
+		}
+		p.SetTargets(all)
+		at := make(map[ids.Target]int)
+		for o := range 5 * slots {
+			at[pick(t, p, want(fmt.Sprint(o))).ID]++
+		}
+		is.True(at["only"] >= slots/2)
+		is.True(at["only"] <= 2*slots)
+	})
+}
+
+// What cannot end in its time is refused at once, and each caller is told a time
+// of its own.
+func TestHopelessRequestIsRefusedOnArrival(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _ := newPlacer(1, "e1")
+		var busy *placer.ErrBusy
+		var err error
+		n := 0
+		for ; n < 200 && err == nil; n++ {
+			_, err = p.Pick(want("a"))
+		}
+		is.True(errors.As(err, &busy))
+		is.True(n > 2*slots)
+		last := busy.Wait
+		for range 3 {
+			_, err = p.Pick(want("a"))
+			is.True(errors.As(err, &busy))
+			is.True(busy.Wait >= last)
+			last = busy.Wait
+		}
+	})
+}
+
+// A target that fails its requests, though it is reachable, gets few of them.
+func TestGreyTargetGetsLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _ := newPlacer(3, "e1")
+		grey := 0
+		for i := range 300 {
+			c := pick(t, p, want(fmt.Sprint(i%30)))
+			time.Sleep(20 * time.Millisecond)
+			if c.ID == "e1-0" {
+				c.Done(placer.Outcome{Failed: true})
+				grey++
+			} else {
+				c.Done(placer.Outcome{Answered: true})
+			}
+		}
+		is.True(grey < 30)
+	})
+}
+
+// A target that works several times slower than the others loses its objects.
+func TestSlowTargetLosesItsObjects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _ := newPlacer(3, "e1")
+		for o := range 12 {
+			serve(t, p, want(fmt.Sprint(o)), coldWork)
+		}
+		late := 0
+		for i := range 120 {
+			c := pick(t, p, want(fmt.Sprint(i%12)))
+			d := warmWork
+			if !c.Warm {
+				d = coldWork
+			}
+			if c.ID == "e1-0" {
+				d *= 5
+				if i > 60 {
+					late++
+				}
+			}
+			time.Sleep(d)
+			c.Done(placer.Outcome{Answered: true})
+		}
+		is.True(late < 6)
+	})
+}
+
+// An unreachable target is left alone for a while, longer each time.
+func TestUnreachableTargetIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _ := newPlacer(1, "e1")
+		pauses := []time.Duration{}
+		for range 3 {
+			pick(t, p, want("a")).Done(placer.Outcome{Unreachable: true})
+			begun := time.Now()
+			for {
+				c, err := p.Pick(want("a"))
+				if err == nil {
+					c.Done(placer.Outcome{})
+					break
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			pauses = append(pauses, time.Since(begun))
+		}
+		is.True(pauses[0] < pauses[1])
+		is.True(pauses[1] < pauses[2])
+	})
+}
+
+// After a return from a zone's loss, cold targets get no more than they bear from
+// all hosts together.
+func TestColdReturnKeepsToTheColdRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const hosts, coldRate = 5, 8.0
+		var all []*placer.Placer
+		for range hosts {
+			p := placer.New(placer.Config{Zone: "e1", Regions: regions, ColdShare: func() float64 { return 1.0 / hosts }})
+			p.SetColdRate("s", coldRate)
+			p.SetTargets([]registrar.Target{{
+				ID: "cold", Service: "s", Zone: "e1", Slots: 100, Address: "10.0.0.1:80", ColdUntil: time.Now().Add(3 * time.Second),
+			}})
+			all = append(all, p)
+		}
+		most := 0
+		for range 3 {
+			sent := 0
+			for range 100 {
+				for i, p := range all {
+					if c, err := p.Pick(want(fmt.Sprint(i))); err == nil {
+						sent++
+						c.Done(placer.Outcome{})
+					}
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			most = max(most, sent)
+		}
+		const excess, slack = 1.5, 5
+		is.True(most <= coldRate*excess+slack)
+		is.True(most >= hosts)
+	})
+}
+
+// A target that joined gets a request soon, though all objects are warm elsewhere.
+func TestNewTargetGetsItsFirstRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, all := newPlacer(2, "e1")
+		for o := range 6 {
+			serve(t, p, want(fmt.Sprint(o)), coldWork)
+		}
+		p.SetTargets(append(all, registrar.Target{ID: "new", Service: "s", Zone: "w1", Slots: slots, Address: "10.9.9.9:80"}))
+		got := false
+		for o := range 6 {
+			got = got || serve(t, p, want(fmt.Sprint(o)), warmWork).ID == "new"
+		}
+		is.True(got)
+	})
+}
+
+// Targets that drain, are in an evacuated zone, or lie outside the homes get
+// nothing, also where nothing else is left.
+func TestForbiddenTargetsGetNothing(t *testing.T) {
+	for name, forbid := range map[string]func(*placer.Placer, []registrar.Target, *placer.Want){
+		"draining": func(p *placer.Placer, all []registrar.Target, _ *placer.Want) {
+			for i := range all {
+				all[i].Draining = true
+			}
+			p.SetTargets(all)
+		},
+		"evacuated": func(p *placer.Placer, _ []registrar.Target, _ *placer.Want) {
+			p.SetEvacuated(map[ids.Zone]bool{"e1": true})
+		},
+		"homes": func(_ *placer.Placer, _ []registrar.Target, w *placer.Want) {
+			w.Homes = [][]ids.Region{{"east", "west"}, {"west"}}
+		},
+		"tried": func(_ *placer.Placer, all []registrar.Target, w *placer.Want) {
+			for _, t := range all {
+				w.Avoid = append(w.Avoid, t.ID)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p, all := newPlacer(2, "e1")
+			w := want("a")
+			pick(t, p, w)
+			forbid(p, all, &w)
+			_, err := p.Pick(w)
+			var none *placer.ErrNoTarget
+			is.True(errors.As(err, &none))
+		})
+	}
+}
+
+// A restart under the same name is another target: nothing is known of it.
+func TestRestartUnderTheSameNameIsCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, all := newPlacer(1, "e1")
+		serve(t, p, want("a"), coldWork)
+		is.True(pick(t, p, want("a")).Warm)
+		all[0].Born++
+		p.SetTargets(all)
+		is.True(!pick(t, p, want("a")).Warm)
+	})
+}
+
+// Large bodies stay near: crossing a zone with them costs more than waiting.
+func TestLargeBodyStaysInItsZone(t *testing.T) {
+	is := is.New(t)
+	p, _ := newPlacer(1, "e1", "e2", "w1")
+	for o := range slots + slots/2 {
+		w := want(fmt.Sprint(o))
+		w.KiB = 60
+		is.Equal(pick(t, p, w).Zone, ids.Zone("e1"))
+	}
+}
+
+// How many objects targets keep warm is learned from the times of answers.
+func TestNumberOfWarmObjectsIsLearned(t *testing.T) {
+	for _, kept := range []int{6, 30} {
+		t.Run(fmt.Sprint(kept), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p, _ := newPlacer(1, "e1")
+				const objects = 36
+				var lately []int // the objects that the target really keeps
+				wrong := 0
+				for i := range 6000 {
+					o := (i * i / 7) % objects
+					at := -1
+					for j, x := range lately {
+						if x == o {
+							at = j
+						}
+					}
+					c := pick(t, p, want(fmt.Sprint(o)))
+					warm := at >= 0
+					d := coldWork
+					if warm {
+						d = warmWork
+						lately = append(lately[:at], lately[at+1:]...)
+					}
+					lately = append(lately, o)
+					if len(lately) > kept {
+						lately = lately[1:]
+					}
+					if i > 4000 && c.Warm != warm {
+						wrong++
+					}
+					time.Sleep(d)
+					c.Done(placer.Outcome{Answered: true})
+				}
+				is.True(wrong < 200) // of 2,000
+			})
+		})
+	}
+}
