--- /dev/null
+++ b/pkg/gatewaysettings/gatewaysettings_test.go
@@ -0,0 +1,47 @@
+package gatewaysettings_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gypsumbeam.example/gypsumbeam/pkg/gatewaysettings"
+	"gypsumbeam.example/gypsumbeam/pkg/ids"
+)
+
+const good = `// a host
+{
+  "name": "h", "zone": "one", "region": "west",
+  "listen": {"callers": "10.0.0.1:1", "lookups": "10.0.0.1:2", "readiness": "10.0.0.1:3", "siblings": "10.0.0.1:4"},
+  "store": "10.0.0.9:1",
+  "zones": [{"zone": "one", "region": "west"}, {"zone": "two", "region": "east"}],
+  "bounds": {"revoke": "5000ms", "grace": "6s"},
+}`
+
+func TestGoodSettings(t *testing.T) {
+	is := is.New(t)
+	s, err := gatewaysettings.Parse([]byte(good))
+	is.NoErr(err)
+	is.Equal(s.Bounds.RevokeTime(), 5*time.Second)
+	is.Equal(s.Bounds.GraceTime(), 6*time.Second)
+	is.Equal(s.Regions()["two"], ids.Region("east"))
+}
+
+func TestFaultySettings(t *testing.T) {
+	for name, c := range map[string]struct{ old, with, want string }{
+		"noZone":   {`"zone": "one", "region": "west",`, ``, "zone: the host's availability zone is needed"},
+		"address":  {`"10.0.0.1:3"`, `"here"`, "listen.readiness: "},
+		"time":     {`"5000ms"`, `"5 seconds"`, "bounds.revoke: "},
+		"unknown":  {`"store"`, `"shop"`, "unknown field"},
+		"mistyped": {`"10.0.0.9:1"`, `9`, "must be a string"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := gatewaysettings.Parse([]byte(strings.Replace(good, c.old, c.with, 1)))
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), c.want))
+		})
+	}
+}
--- /dev/null
+++ b/pkg/replayer/replayer_test.go
@@ -0,0 +1,45 @@
+package replayer_test
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+
+	"gypsumbeam.example/gypsumbeam/pkg/replayer"
+)
+
+func TestShortBodyIsReadAgain(t *testing.T) {
+	is := is.New(t)
+	b := replayer.New(strings.NewReader("order"), 10, 0)
+	for range 3 {
+		a := b.Attempt()
+		text, err := io.ReadAll(iotest.OneByteReader(a))
+		is.NoErr(err)
+		is.Equal(string(text), "order")
+		is.NoErr(a.Close())
+		is.True(b.Replayable())
+		_, err = a.Read(make([]byte, 1))
+		is.True(err != nil) // the attempt is over
+	}
+}
+
+func TestBodiesThatCannotBeReadAgain(t *testing.T) {
+	is := is.New(t)
+	long := replayer.New(strings.NewReader("a long order"), 4, 0)
+	_, err := io.ReadAll(long.Attempt())
+	is.NoErr(err)
+	is.True(!long.Replayable())
+	over := replayer.New(strings.NewReader("a long order"), 100, 4)
+	_, err = io.ReadAll(over.Attempt())
+	is.True(err != nil)
+	is.True(over.TooLarge())
+	broken := replayer.New(iotest.ErrReader(errors.New("cut")), 100, 0)
+	_, err = io.ReadAll(broken.Attempt())
+	is.True(err != nil)
+	is.True(broken.Broken())
+	is.True(!broken.Replayable())
+}
