--- a/pkg/decoder/fault.go
+++ b/pkg/decoder/fault.go
@@ -42,7 +42,7 @@
 // ErrFaults holds all faults of one text, in the order of their places.
 type ErrFaults struct {
 	// File is the name of the text's file, empty if it is not known.
-	File string
+	File   string
 	Faults []Fault
 	// More says that there are MaxFaults faults, and that more may follow.
 	More bool
--- a/pkg/gatewaysettings/gatewaysettings.go
+++ b/pkg/gatewaysettings/gatewaysettings.go
@@ -112,7 +112,7 @@
 	return other
 }
 
-// Revoke returns the time in which a withdrawn key stops working.
+// RevokeTime returns the time in which a withdrawn key stops working.
 func (b Bounds) RevokeTime() time.Duration { return duration(b.Revoke, defaultRevoke) }
 
 // GraceTime returns the time that a graceful stop may take.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -26,6 +26,7 @@
 type Placer struct {
 	cfg    Config
 	starts startLog
+	told   toldLog
 
 	mu        sync.RWMutex
 	services  map[ids.Service]*pool
--- a/pkg/placer/share.go
+++ b/pkg/placer/share.go
@@ -80,29 +80,68 @@
 	now := time.Now()
 	p.mu.RLock()
 	defer p.mu.RUnlock()
-	counts := make(map[uint32]int, len(running))
-	for _, r := range running {
-		counts[r.Target] = r.Count
+	for _, short := range p.told.replace(peer, running) {
+		p.update(short, func(t *target) { delete(t.peers, peer) })
 	}
-	for _, pl := range p.services {
-		pl.mu.Lock()
-		for short, t := range pl.byShort {
-			n := counts[short]
-			if _, known := t.peers[peer]; n > 0 || known {
-				t.peers[peer] = peerLoad{n, now}
-			}
-		}
-		pl.mu.Unlock()
+	for _, r := range running {
+		p.update(r.Target, func(t *target) { t.peers[peer] = peerLoad{r.Count, now} })
 	}
 	for _, s := range starts {
-		pl := p.byShort[s.Target]
-		if pl == nil {
-			continue
+		p.update(s.Target, func(t *target) { t.warm.touch(s.Object, mostKept) })
+	}
+}
+
+// update changes one target, if it is known. The caller holds p.mu.
+func (p *Placer) update(short uint32, change func(*target)) {
+	pl := p.byShort[short]
+	if pl == nil {
+		return
+	}
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	if t := pl.byShort[short]; t != nil {
+		change(t)
+	}
+}
+
+// toldLog holds the targets at which each other host told of requests.
+type toldLog struct {
+	mu    sync.Mutex
+	peers map[ids.Instance]toldTargets
+}
+
+type toldTargets struct {
+	targets []uint32
+	at      time.Time
+}
+
+// replace keeps what a host tells, and returns the targets that it no longer
+// names. Hosts that say nothing any more are forgotten: their requests end by
+// peerLife.
+func (l *toldLog) replace(peer ids.Instance, running []Running) []uint32 {
+	now := time.Now()
+	named := make(map[uint32]bool, len(running))
+	next := toldTargets{at: now}
+	for _, r := range running {
+		named[r.Target] = true
+		next.targets = append(next.targets, r.Target)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.peers == nil {
+		l.peers = make(map[ids.Instance]toldTargets)
+	}
+	var gone []uint32
+	for _, short := range l.peers[peer].targets {
+		if !named[short] {
+			gone = append(gone, short)
 		}
-		pl.mu.Lock()
-		if t := pl.byShort[s.Target]; t != nil {
-			t.warm.touch(s.Object, mostKept)
+	}
+	l.peers[peer] = next
+	for other, t := range l.peers {
+		if now.Sub(t.at) > peerLife {
+			delete(l.peers, other)
 		}
-		pl.mu.Unlock()
 	}
+	return gone
 }
--- /dev/null
+++ b/pkg/placer/share_bench_test.go
@@ -0,0 +1,44 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/placer"
+	"gypsumbeam.example/gypsumbeam/pkg/registrar"
+)
+
+// BenchmarkAbsorb measures what one message of a sibling costs with 500 targets.
+func BenchmarkAbsorb(b *testing.B) {
+	p := placer.New(placer.Config{Zone: "e1", Regions: regions})
+	var all []registrar.Target
+	for i := range 500 {
+		all = append(all, registrar.Target{ID: ids.Target(fmt.Sprint(i)), Service: "s", Zone: "e1", Slots: slots, Address: fmt.Sprint(i)})
+	}
+	p.SetTargets(all)
+	for i := range 10 {
+		if _, err := p.Pick(want(fmt.Sprint(i))); err != nil {
+			b.Fatal(err)
+		}
+	}
+	running := p.Running()
+	starts, _ := p.Starts(0, 5)
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Absorb("peer", running, starts)
+	}
+}
+
+// BenchmarkPick measures one choice among 300 targets.
+func BenchmarkPick(b *testing.B) {
+	p, _ := newPlacer(100, "e1", "e2", "w1")
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		c, err := p.Pick(want(fmt.Sprint(i % 100)))
+		if err != nil {
+			b.Fatal(err)
+		}
+		c.Done(placer.Outcome{Answered: true})
+	}
+}
--- a/pkg/placer/target.go
+++ b/pkg/placer/target.go
@@ -60,9 +60,11 @@
 // theirs, or what the target told of all.
 func (t *target) backlog(now time.Time) float64 {
 	told := float64(t.inFlight)
-	for _, p := range t.peers {
+	for peer, p := range t.peers {
 		if now.Sub(p.at) < peerLife {
 			told += float64(p.running)
+		} else {
+			delete(t.peers, peer) // The host fell silent.
 		}
 	}
 	age := now.Sub(t.loadAt)
--- a/pkg/tallier/tallier_test.go
+++ b/pkg/tallier/tallier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -14,7 +15,7 @@
 
 func text(t *tallier.Tallier) string {
 	w := httptest.NewRecorder()
-	t.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	t.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	return w.Body.String()
 }
 
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -154,7 +154,7 @@
 
 // exchange makes the call and judges its answer.
 func (q *request) exchange(ctx context.Context, c *placer.Choice) *result {
-	resp, wrote, err := q.h.cfg.Sender.Do(ctx, c.Address, q.outgoing(ctx, c))
+	resp, wrote, err := q.h.cfg.Sender.Do(ctx, c.Address, q.outgoing(ctx, c)) //nolint:bodyclose // The attempt closes it.
 	if err != nil {
 		return q.failure(ctx, wrote)
 	}
