service/siblings, pkg/allotter: fewer messages in large fleets

Cause: every host tells every other one; with 64 hosts that were 26,000 messages a second. Intervals grow with the fleet now, up to four times, and with them the time until a host counts as silent; rates keep a larger part of the burst under the hosts' parts. The bound on a hot workspace holds at 70 hosts with a lag of 0.8 s (TestHotWorkspaceGetsItsRateAndNoMore); fleets of up to 16 are unchanged.

--- a/pkg/allotter/allotter.go
+++ b/pkg/allotter/allotter.go
@@ -15,13 +15,16 @@
 )
 
 const (
-	// scarceLevel is the part of the burst below which hosts keep to their
-	// parts: above it the lag of what they tell each other does no harm.
+	// scarceLevel is the part of the burst below which hosts keep to their parts:
+	// above it what they have not told each other yet does no harm, if they tell
+	// it within shortLag. The longer they take, the higher the level.
 	scarceLevel = 0.5
+	shortLag    = 200 * time.Millisecond
+	// missedMessages is how many messages must be missing until a host no longer
+	// counts as heard of.
+	missedMessages = 3
 	// leastDemand, in requests a second, is what is worth telling.
 	leastDemand = 0.1
-	// heardLife is how long a host counts as heard of.
-	heardLife = 600 * time.Millisecond
 	// demandTime is the time over which demand is averaged.
 	demandTime = time.Second
 	// allowanceTime is how much of its part a host may save up.
@@ -56,7 +59,9 @@
 	// means one.
 	Members func() int
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// lag is how old what hosts tell each other may be.
+	lag     time.Duration
 	buckets map[Name]*bucket
 	// heard holds when each other host was last heard of.
 	heard map[ids.Instance]time.Time
@@ -96,6 +101,22 @@
 	d.at = now
 }
 
+// SetLag says how old what hosts tell each other may be.
+func (a *Allotter) SetLag(d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lag = d
+}
+
+// told returns the lag. The caller holds the lock.
+func (a *Allotter) told() time.Duration { return max(a.lag, shortLag) }
+
+// scarce returns the part of the burst below which hosts keep to their parts. The
+// caller holds the lock.
+func (a *Allotter) scarce() float64 {
+	return 1 - (1-scarceLevel)*shortLag.Seconds()/a.told().Seconds()
+}
+
 // limit is the part of a workspace's limit that the hosts that hear each other
 // may use.
 type limit struct {
@@ -111,7 +132,7 @@
 	}
 	hears := 1
 	for _, at := range a.heard {
-		if now.Sub(at) < heardLife {
+		if now.Sub(at) < missedMessages*a.told() {
 			hears++
 		}
 	}
@@ -172,7 +193,7 @@
 	l := a.limit(w, now)
 	b := a.bucket(NameOf(w.Name), l, now)
 	b.demand.add(now)
-	scarce := b.tokens < l.burst*scarceLevel
+	scarce := b.tokens < l.burst*a.scarce()
 	if b.tokens >= 1 && (!scarce || b.allowance >= 1) {
 		b.tokens--
 		b.allowance = max(b.allowance-1, 0)
@@ -248,7 +269,7 @@
 
 // forget drops the hosts that have not been heard of for long.
 func (a *Allotter) forget(now time.Time) {
-	const forgetTime = 20 * heardLife
+	const forgetTime = 12 * time.Second
 	for peer, at := range a.heard {
 		if now.Sub(at) < forgetTime {
 			continue
--- a/pkg/allotter/allotter_test.go
+++ b/pkg/allotter/allotter_test.go
@@ -30,14 +30,20 @@
 	hosts []*allotter.Allotter
 	// cut holds the hosts that nobody hears and that hear nobody.
 	cut      map[int]bool
-	admitted []time.Time
-	asked    int
+	// tellEvery is the time between two messages of a host.
+	tellEvery time.Duration
+	admitted  []time.Time
+	asked     int
 }
 
 func newFleet(n int) *fleet {
-	f := &fleet{cut: make(map[int]bool)}
+	f := &fleet{cut: make(map[int]bool), tellEvery: 200 * time.Millisecond}
+	if n > 16 {
+		f.tellEvery = f.tellEvery * time.Duration(min(n, 64)) / 16 // As the siblings do.
+	}
 	for range n {
 		f.hosts = append(f.hosts, &allotter.Allotter{Members: func() int { return n }})
+		f.hosts[len(f.hosts)-1].SetLag(f.tellEvery)
 	}
 	return f
 }
@@ -66,7 +72,7 @@
 	for _, x := range weights {
 		total += x
 	}
-	const tellEvery = 20 // steps, 200 ms
+	tellEvery := int(f.tellEvery / step)
 	for i := range int(d / step) {
 		time.Sleep(step)
 		if i%tellEvery == 0 {
@@ -139,7 +145,7 @@
 
 // A hot workspace gets its rate and no more, on fleets of several sizes.
 func TestHotWorkspaceGetsItsRateAndNoMore(t *testing.T) {
-	for _, n := range []int{1, 3, 10, 40} {
+	for _, n := range []int{1, 3, 10, 70} {
 		for _, rate := range []float64{8, 100, 400} {
 			t.Run(fmt.Sprintf("%dHosts/%gPerSecond", n, rate), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
--- a/service/siblings/siblings.go
+++ b/service/siblings/siblings.go
@@ -27,6 +27,11 @@
 	// and farInterval to one of another region.
 	nearInterval = 100 * time.Millisecond
 	farInterval  = 200 * time.Millisecond
+	// fewHosts is the size of a fleet up to which those intervals hold. In larger
+	// ones they grow with the size, so that a host sends as many messages.
+	fewHosts = 16
+	// longestStretch bounds that growth, as what is told ages with it.
+	longestStretch = 4
 	// maxStarts bounds the starts in one message.
 	maxStarts = 60
 	// maxDatagram is the longest message that is read.
@@ -36,6 +41,8 @@
 	// silentTime is how long a host may say nothing before callers are no longer
 	// sent to it.
 	silentTime = 1200 * time.Millisecond
+	// missedMessages is how many messages in a row must be missing as well.
+	missedMessages = 3
 )
 
 // message is one datagram.
@@ -161,11 +168,24 @@
 	}
 }
 
+// interval returns the time between two messages to p. The caller holds the lock.
 func (g *Gossiper) interval(p *peer) time.Duration {
 	if p.host.Region == g.cfg.Self.Region {
-		return nearInterval
+		return time.Duration(float64(nearInterval) * g.stretch())
 	}
-	return farInterval
+	return time.Duration(float64(farInterval) * g.stretch())
+}
+
+// stretch returns how much longer the intervals are than in a small fleet. The
+// caller holds the lock.
+func (g *Gossiper) stretch() float64 {
+	return min(max(float64(len(g.peers))/fewHosts, 1), longestStretch)
+}
+
+// silence returns after which time without a message a host counts as silent. The
+// caller holds the lock.
+func (g *Gossiper) silence() time.Duration {
+	return max(silentTime, time.Duration(missedMessages*float64(farInterval)*g.stretch()))
 }
 
 // refresh takes the registered hosts over. The caller holds the lock.
@@ -302,6 +322,14 @@
 	}
 	g.cfg.Placer.Absorb(m.From, run, starts)
 	g.cfg.Allotter.Absorb(m.From, usages)
+	g.cfg.Allotter.SetLag(g.lag())
+}
+
+// lag returns how old what hosts tell each other may be.
+func (g *Gossiper) lag() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Duration(float64(farInterval) * g.stretch())
 }
 
 // Silent returns the hosts to which callers are not to be sent, by their
@@ -313,7 +341,7 @@
 	defer g.mu.Unlock()
 	silent := make(map[string]bool)
 	for _, p := range g.peers {
-		quiet := now.Sub(p.heard) > silentTime
+		quiet := now.Sub(p.heard) > g.silence()
 		if quiet != p.silent {
 			p.silent = quiet
 			g.cfg.Log.WithField("host", p.host.Callers).WithField("silent", quiet).Warn("host heard of")
@@ -333,7 +361,7 @@
 	defer g.mu.Unlock()
 	rank := 0
 	for _, p := range g.peers {
-		if now.Sub(p.heard) <= silentTime && p.host.Instance < g.cfg.Self.Instance {
+		if now.Sub(p.heard) <= g.silence() && p.host.Instance < g.cfg.Self.Instance {
 			rank++
 		}
 	}
