internal/loadsim: a model of the load, with an oracle; gypsumdemo placement

Real placers of several hosts against targets with slots, queues and warm objects, callers in waves by region.

--- a/cmd/gypsumdemo/cmds/run.go
+++ b/cmd/gypsumdemo/cmds/run.go
@@ -15,6 +15,7 @@
 	"github.com/zeebo/errs"
 
 	"gypsumbeam.example/gypsumbeam/internal/demo"
+	"gypsumbeam.example/gypsumbeam/internal/loadsim"
 	"gypsumbeam.example/gypsumbeam/internal/slopes"
 	"gypsumbeam.example/gypsumbeam/pkg/logflags"
 	"gypsumbeam.example/gypsumbeam/pkg/version"
@@ -34,6 +35,7 @@
 // arguments is the command line. Without a subcommand the demo runs.
 type arguments struct {
 	Slopes     *slopes.Args  `arg:"subcommand:slopes" help:"measure what entry hosts cost as a fleet grows"`
+	Placement  *loadsim.Args `arg:"subcommand:placement" help:"play loads against the choice of targets, with what hosts know of each other"`
 	Deployment string        `arg:"--deployment" default:"crested-thread" placeholder:"NAME" help:"crested-thread or halvorsen"`
 	Duration   time.Duration `arg:"--duration" default:"20s" help:"how long callers send requests"`
 	Seed       uint64        `arg:"--seed" default:"1" help:"seed of the load"`
@@ -88,9 +90,20 @@
 	if a.Slopes != nil {
 		return a.measure(ctx, stdout, stderr)
 	}
+	if a.Placement != nil {
+		return a.place(stdout, stderr)
+	}
 	return a.run(ctx, stdout, stderr)
 }
 
+// place runs the subcommand placement.
+func (a *arguments) place(stdout, stderr io.Writer) int {
+	if err := a.Placement.Run(stdout); err != nil {
+		return tell(stderr, err, ExitFailed)
+	}
+	return ExitOK
+}
+
 // measure runs the subcommand slopes.
 func (a *arguments) measure(ctx context.Context, stdout, stderr io.Writer) int {
 	a.Slopes.JSON = a.JSON
--- a/cmd/gypsumdemo/cmds/run_test.go
+++ b/cmd/gypsumdemo/cmds/run_test.go
@@ -57,3 +57,12 @@
 		is.Equal(out.Len(), 0)
 	}
 }
+
+func TestPlacementPrintsATable(t *testing.T) {
+	is := is.New(t)
+	var out, diag bytes.Buffer
+	is.Equal(Run(t.Context(), []string{"placement", "--wave", "1s", "--times", "0.5"}, &out, &diag), ExitOK)
+	for _, name := range []string{"shop", "courts", "nothing", "siblings", "everything"} {
+		is.True(strings.Contains(out.String(), name))
+	}
+}
--- /dev/null
+++ b/internal/loadsim/target.go
@@ -0,0 +1,67 @@
+package loadsim
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/placer"
+)
+
+// queueFactor is how many requests wait at a target for each of its slots before
+// it sheds.
+const queueFactor = 3
+
+// target serves requests in slots, and remembers the objects that it served
+// last.
+type target struct {
+	site Site
+	zone ids.Zone
+	free chan struct{}
+
+	mu      sync.Mutex
+	waiting int
+	lately  []placer.Object
+}
+
+func newTarget(site Site, zone ids.Zone) *target {
+	t := &target{site: site, zone: zone, free: make(chan struct{}, site.Slots)}
+	for range site.Slots {
+		t.free <- struct{}{}
+	}
+	return t
+}
+
+// serve runs a request and reports whether it did: a full queue sheds it.
+func (t *target) serve(o placer.Object, spread float64) bool {
+	t.mu.Lock()
+	if t.waiting >= queueFactor*t.site.Slots {
+		t.mu.Unlock()
+		return false
+	}
+	t.waiting++
+	t.mu.Unlock()
+	<-t.free
+	work := t.start(o)
+	time.Sleep(time.Duration(float64(work) * spread))
+	t.free <- struct{}{}
+	return true
+}
+
+// start takes a request out of the queue and returns how long its work is.
+func (t *target) start(o placer.Object) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.waiting--
+	work := t.site.Cold
+	if i := slices.Index(t.lately, o); i >= 0 {
+		work = t.site.Warm
+		t.lately = slices.Delete(t.lately, i, i+1)
+	}
+	t.lately = slices.Insert(t.lately, 0, o)
+	if len(t.lately) > t.site.Kept {
+		t.lately = t.lately[:t.site.Kept]
+	}
+	return work
+}
