--- a/service/entryhost/host.go
+++ b/service/entryhost/host.go
@@ -5,7 +5,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
