--- a/pkg/confirmer/confirmer.go
+++ b/pkg/confirmer/confirmer.go
@@ -62,6 +62,13 @@
 	c.last, c.set = s, true
 }
 
+// Last returns the newest confirmation, and false if there has been none.
+func (c *Confirmer) Last() (Stamp, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last, c.set
+}
+
 // Age returns the time since the newest confirmation, and false if there has
 // been none.
 func (c *Confirmer) Age() (time.Duration, bool) {
--- a/pkg/lister/lister.go
+++ b/pkg/lister/lister.go
@@ -30,47 +30,69 @@
 type Lister struct {
 	mu    sync.RWMutex
 	hosts map[string]Host
-	// self is this host's address for callers; it is named only while ready.
-	self  string
+	// kept holds the hosts that are no longer registered, but answer.
+	kept map[string]bool
+	// self is this host, named only while it is ready.
+	self  Host
 	ready bool
-	// silent holds the hosts that no longer answer their siblings.
+	// silent holds the hosts that no longer answer their siblings, or are not
+	// ready.
 	silent map[string]bool
 }
 
-// SetHosts replaces the hosts, by their addresses for callers.
-func (l *Lister) SetHosts(all []Host) {
-	hosts := make(map[string]Host, len(all))
-	for _, h := range all {
+// SetHosts replaces the hosts by those that are registered. Hosts that were known
+// and answer stay: registrations expire while the store is away. Hosts are told by
+// their addresses for callers.
+func (l *Lister) SetHosts(registered []Host, answering map[string]bool) {
+	hosts := make(map[string]Host, len(registered))
+	kept := make(map[string]bool)
+	for _, h := range registered {
 		hosts[h.Callers] = h
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.hosts = hosts
+	for address, h := range l.hosts {
+		if _, ok := hosts[address]; !ok && answering[address] {
+			hosts[address] = h
+			kept[address] = true
+		}
+	}
+	l.hosts, l.kept = hosts, kept
 }
 
-// SetSelf says at which address this host takes callers, and whether it does.
-func (l *Lister) SetSelf(address string, ready bool) {
+// SetSelf says who this host is, and whether it takes callers.
+func (l *Lister) SetSelf(self Host, ready bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.self, l.ready = address, ready
+	l.self, l.ready = self, ready
 }
 
-// SetSilent replaces the hosts that no longer answer, by their addresses for
-// callers.
+// SetSilent replaces the hosts that no longer answer, or are not ready, by their
+// addresses for callers. Those that are not registered either are forgotten.
 func (l *Lister) SetSilent(silent map[string]bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.silent = silent
+	for address := range l.kept {
+		if silent[address] {
+			delete(l.kept, address)
+			delete(l.hosts, address)
+		}
+	}
 }
 
-// Hosts returns all hosts that are known, in order of their addresses.
+// Hosts returns all hosts that are known, in order of their addresses. This host
+// is among them while it is ready.
 func (l *Lister) Hosts() []Host {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	all := make([]Host, 0, len(l.hosts))
+	all := make([]Host, 0, len(l.hosts)+1)
 	for _, h := range l.hosts {
 		all = append(all, h)
 	}
+	if _, ok := l.hosts[l.self.Callers]; !ok && l.ready {
+		all = append(all, l.self)
+	}
 	slices.SortFunc(all, func(a, b Host) int { return cmp.Compare(a.Callers, b.Callers) })
 	return all
 }
@@ -103,7 +125,7 @@
 func (l *Lister) takes(h Host) bool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	if h.Callers == l.self {
+	if h.Callers == l.self.Callers {
 		return l.ready
 	}
 	return !l.silent[h.Callers]
--- a/pkg/lister/lister_test.go
+++ b/pkg/lister/lister_test.go
@@ -19,7 +19,7 @@
 func TestNearestHostsAreNamed(t *testing.T) {
 	is := is.New(t)
 	var l lister.Lister
-	l.SetHosts(hosts())
+	l.SetHosts(hosts(), nil)
 	is.Equal(l.Addresses("one", "west"), []string{"10.0.0.1:80"})
 	l.SetSilent(map[string]bool{"10.0.0.1:80": true})
 	is.Equal(l.Addresses("one", "west"), []string{"10.0.0.2:80"})
@@ -30,9 +30,33 @@
 func TestHostThatIsNotReadyNamesOthers(t *testing.T) {
 	is := is.New(t)
 	var l lister.Lister
-	l.SetHosts(hosts())
-	l.SetSelf("10.0.0.1:80", false)
+	l.SetHosts(hosts(), nil)
+	l.SetSelf(hosts()[0], false)
 	is.Equal(l.Addresses("one", "west"), []string{"10.0.0.2:80"})
-	l.SetSelf("10.0.0.1:80", true)
+	l.SetSelf(hosts()[0], true)
 	is.Equal(l.Addresses("one", "west"), []string{"10.0.0.1:80"})
 }
+
+// Registrations expire while the store is away. A host that still answers its
+// siblings stays known, as the rates that hosts share depend on their number.
+func TestHostsThatAnswerOutliveTheirRegistrations(t *testing.T) {
+	is := is.New(t)
+	var l lister.Lister
+	l.SetHosts(hosts(), nil)
+	l.SetHosts(nil, map[string]bool{"10.0.0.1:80": true, "10.0.0.2:80": true})
+	is.Equal(len(l.Hosts()), 2)
+	l.SetSilent(map[string]bool{"10.0.0.2:80": true}) // It fell silent, or leaves.
+	is.Equal(len(l.Hosts()), 1)
+	l.SetHosts(hosts(), nil)
+	l.SetSilent(map[string]bool{"10.0.0.2:80": true}) // Registered: it may be cut off only.
+	is.Equal(len(l.Hosts()), 3)
+}
+
+// A host that is ready names itself, registered or not.
+func TestReadyHostNamesItself(t *testing.T) {
+	is := is.New(t)
+	var l lister.Lister
+	l.SetSelf(lister.Host{Callers: "10.0.0.9:80", Zone: "one", Region: "west"}, true)
+	is.Equal(l.Addresses("one", "west"), []string{"10.0.0.9:80"})
+	is.Equal(len(l.Hosts()), 1)
+}
--- a/service/gateway/handler.go
+++ b/service/gateway/handler.go
@@ -209,9 +209,7 @@
 	if rf.retryAfter > 0 {
 		head.Set("Retry-After", formatSeconds(rf.retryAfter))
 	}
-	if q.call.ID != "" {
-		head.Set("Content-Type", "text/plain; charset=utf-8")
-	}
+	head.Set("Content-Type", "text/plain; charset=utf-8")
 	text := rf.reason + "\n"
 	head.Set("Content-Length", strconv.Itoa(len(text)))
 	q.w.WriteHeader(rf.status)
--- a/service/gatewayhost/feed.go
+++ b/service/gatewayhost/feed.go
@@ -54,8 +54,8 @@
 
 // SetHosts replaces the entry hosts that are registered.
 func (h *Host) SetHosts(all []lister.Host) {
-	h.lister.SetHosts(all)
-	h.log.WithField("hosts", len(all)).Info("hosts read")
+	h.lister.SetHosts(all, h.gossiper.Answering())
+	h.log.WithFields(log.Fields{"registered": len(all), "known": len(h.lister.Hosts())}).Info("hosts read")
 }
 
 // logLimit writes a line if a workspace's limit differs from the last version's.
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -160,7 +160,7 @@
 		select {
 		case <-t.C:
 			h.registrar.Expire()
-			h.lister.SetSelf(h.cfg.Self.Callers, h.Ready())
+			h.lister.SetSelf(h.cfg.Self, h.Ready())
 			h.gossiper.Tick()
 			h.lister.SetSilent(h.gossiper.Silent())
 		case <-ctx.Done():
@@ -184,7 +184,7 @@
 	h.log.Info("leaving")
 	end := time.Now().Add(h.limits.Load().Grace - stopMargin)
 	h.leaving.Store(true)
-	h.lister.SetSelf(h.cfg.Self.Callers, false)
+	h.lister.SetSelf(h.cfg.Self, false)
 	h.handler.Leave()
 	time.Sleep(acceptTime)
 	h.handler.Refuse()
--- a/service/siblings/siblings.go
+++ b/service/siblings/siblings.go
@@ -154,8 +154,14 @@
 // Tick sends what is due. It is to be called about every nearInterval.
 func (g *Gossiper) Tick() {
 	now := time.Now()
-	running := g.running()
-	usages := g.usages()
+	// The proof is read before the version: a version that is newer than the one
+	// proved makes it no weaker. And all is read before the lock is taken, as other
+	// parts call this one under their own locks.
+	proof, proved := g.cfg.Confirmer.Last()
+	news := message{
+		From: g.cfg.Self.Instance, Version: g.cfg.State.Version(), Revision: g.cfg.State.Revision(),
+		Ready: g.cfg.Ready(), Running: g.running(), Usages: g.usages(), Age: -1,
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.refresh(now)
@@ -164,7 +170,7 @@
 			continue
 		}
 		p.nextAt = now.Add(g.interval(p) - nearInterval/4)
-		g.send(p, running, usages)
+		g.send(p, news, proof, proved)
 	}
 }
 
@@ -230,18 +236,16 @@
 	return all
 }
 
-// send tells one host. The caller holds the lock.
-func (g *Gossiper) send(p *peer, running []running, usages []usage) {
-	m := message{
-		From: g.cfg.Self.Instance, Sent: g.clock(), Echo: p.echo,
-		Version: g.cfg.State.Version(), Revision: g.cfg.State.Revision(), Age: -1,
-		Ready: g.cfg.Ready(), Running: running, Usages: usages,
-	}
+// send tells one host the news, what is for it alone, and the age of the proof that
+// the version is the newest. The caller holds the lock.
+func (g *Gossiper) send(p *peer, m message, proof confirmer.Stamp, proved bool) {
+	m.Sent, m.Echo = g.clock(), p.echo
 	if p.echo != 0 {
 		m.Held = int64(g.cfg.Confirmer.Stamp().Since(p.held))
 	}
-	if age, ok := g.cfg.Confirmer.Age(); ok {
-		m.Age = int64(age)
+	if proved {
+		// Taken after Held, as a suspension in between must make the proof older.
+		m.Age = int64(g.cfg.Confirmer.Stamp().Since(proof))
 	}
 	var starts []placer.Start
 	starts, p.starts = g.cfg.Placer.Starts(p.starts, maxStarts)
@@ -353,6 +357,21 @@
 	return silent
 }
 
+// Answering returns the hosts that are heard of and take callers, by their addresses
+// for callers.
+func (g *Gossiper) Answering() map[string]bool {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	all := make(map[string]bool, len(g.peers))
+	for _, p := range g.peers {
+		if p.ready && now.Sub(p.heard) <= g.silence() {
+			all[p.host.Callers] = true
+		}
+	}
+	return all
+}
+
 // Rank returns the place of this host among those that are heard of, 0 being
 // the first.
 func (g *Gossiper) Rank() int {
