pkg/retrier, service/gatewayhost: hosts save up their parts of second sends

Found by reading: each host saved up ten second sends for a service, so ten hosts could make 100 at once, where a service of 24 requests a second bears 108 in 10 s and 64 hosts 640 where 438 are allowed. All hosts together save up 40 now.

--- a/pkg/retrier/retrier.go
+++ b/pkg/retrier/retrier.go
@@ -23,6 +23,10 @@
 // ready, and its methods may be called from any goroutine. Over any time a
 // workspace retries at most firstCredit plus ratio times its requests.
 type Budget struct {
+	// Saved returns how many retries can be saved up, at least 1; nil means
+	// maxCredit. Hosts that share a budget save up their parts of it.
+	Saved func() float64
+
 	shards [shards]shard
 }
 
@@ -46,7 +50,7 @@
 	s := b.shard(c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.credits[c] = min(maxCredit, s.credit(c)+ratio)
+	s.credits[c] = min(b.saved(), s.credit(c)+ratio)
 }
 
 // Take reports whether one more retry is within the budget, and counts it.
@@ -63,6 +67,13 @@
 	return true
 }
 
+func (b *Budget) saved() float64 {
+	if b.Saved == nil {
+		return maxCredit
+	}
+	return max(b.Saved(), 1)
+}
+
 func (b *Budget) shard(c class) *shard {
 	return &b.shards[maphash.Comparable(seed, c)%shards]
 }
--- a/pkg/retrier/retrier_test.go
+++ b/pkg/retrier/retrier_test.go
@@ -29,3 +29,17 @@
 	}
 	is.True(burst <= maxCredit)
 }
+
+// Hosts that share a budget save up no more than their parts of it.
+func TestSavedRetriesAreBounded(t *testing.T) {
+	is := is.New(t)
+	b := Budget{Saved: func() float64 { return 4 }}
+	for range 1000 {
+		b.Request("s", "", 0.1)
+	}
+	taken := 0
+	for b.Take("s", "") {
+		taken++
+	}
+	is.Equal(taken, 4)
+}
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -38,6 +38,8 @@
 	acceptTime = 2500 * time.Millisecond
 	// stopMargin is left of the grace for the end of the process.
 	stopMargin = 500 * time.Millisecond
+	// savedRetries is what all hosts together save up of second sends to a service.
+	savedRetries = 40
 	// targetIdle is how long a connection to a target is kept unused. Targets
 	// close them after some 10 s, and may forget them sooner.
 	targetIdle = 4 * time.Second
@@ -101,6 +103,7 @@
 	h.placer = placer.New(placer.Config{Zone: cfg.Self.Zone, Regions: cfg.Regions, ColdShare: h.share})
 	h.registrar.Changed = h.placer.SetTargets
 	h.allotter.Members = func() int { return len(h.lister.Hosts()) }
+	h.budget.Saved = func() float64 { return savedRetries * h.share() }
 	h.sender = targets.New(targets.Config{
 		ConnectTimeout: targetConnect, IdleTimeout: targetIdle, Connections: targetConnections, Untimed: true,
 	})
