pkg/router, service/gateway: remove code that nothing uses

Reading the change again: a table of services by name that was built for each version and never asked, and a field of an attempt that was never read.

--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -139,9 +139,8 @@
 // several goroutines.
 type Router struct {
 	Document
-	byHost   map[string][]*Route
-	byKey    map[[sha256.Size]byte]*Workspace
-	services map[ids.Service]*Service
+	byHost map[string][]*Route
+	byKey  map[[sha256.Size]byte]*Workspace
 }
 
 // New returns a Router for d, which must not be changed afterwards.
@@ -150,7 +149,6 @@
 		Document: d,
 		byHost:   make(map[string][]*Route),
 		byKey:    make(map[[sha256.Size]byte]*Workspace),
-		services: make(map[ids.Service]*Service),
 	}
 	for _, route := range d.Routes {
 		host := strings.ToLower(route.Host)
@@ -165,9 +163,6 @@
 			r.byKey[sha256.Sum256([]byte(k))] = w
 		}
 	}
-	for i := range d.Services {
-		r.services[d.Services[i].Name] = &r.Services[i]
-	}
 	return r
 }
 
@@ -191,8 +186,5 @@
 	return r.byKey[sha256.Sum256([]byte(key))]
 }
 
-// Service returns a service by its name, or nil.
-func (r *Router) Service(name ids.Service) *Service { return r.services[name] }
-
 // Keyed reports whether requests need keys at all.
 func (r *Router) Keyed() bool { return len(r.Workspaces) > 0 }
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -34,7 +34,6 @@
 	resp    *http.Response
 	body    []byte
 	stream  bool
-	verdict Verdict
 	outcome placer.Outcome
 	// notRun says that the request provably did not run.
 	notRun bool
@@ -159,7 +158,7 @@
 		return q.failure(ctx, wrote)
 	}
 	v := q.h.cfg.Headers.ReadAnswer(resp.StatusCode, resp.Header, q.call.ID)
-	res := &result{resp: resp, verdict: v}
+	res := &result{resp: resp}
 	res.outcome = placer.Outcome{Load: v.Load, HasLoad: v.HasLoad, ColdFor: v.ColdFor}
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	switch {
