--- a/pkg/limiter/waiter.go
+++ b/pkg/limiter/waiter.go
@@ -175,13 +175,17 @@
 	return forever.Nanoseconds() * request / int64(time.Second)
 }
 
-// retryAfter returns the time after which a request that is alone gets in: by
-// then this host, or else each home seat, has made a whole token. What peers
-// told of their tokens may be spent by now, so it makes the wait no shorter.
+// retryAfter returns the time after which a request gets in if nobody comes
+// meanwhile: by then this host, or else each home seat, has made a whole token
+// for it and for each one that still waits here. What peers told of their tokens
+// may be spent by now, so it makes the wait no shorter.
 func (b *bucket) retryAfter() time.Duration {
-	wait := timeFor(request*int64(max(b.homes, 1)), b.fleetRate)
+	ahead := int64(len(b.waiters))
+	homes := int64(max(b.homes, 1))
+	rounds := time.Duration(1 + ahead/homes)
+	wait := rounds * timeFor(request*homes, b.fleetRate)
 	if b.capacity() >= request {
-		wait = min(wait, timeFor(request-b.tokens, b.rate()))
+		wait = min(wait, timeFor((ahead+1)*request-b.tokens, b.rate()))
 	}
 	return max(wait, minRetry)
 }
