--- /dev/null
+++ b/internal/soak/ledger_test.go
@@ -0,0 +1,57 @@
+package soak
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// The ledger finds each kind of broken promise.
+func TestLedgerFindsBrokenPromises(t *testing.T) {
+	const id = "0123456789abcdef"
+	begun := time.Now()
+	for _, tc := range []struct {
+		name, want string
+		do         func(l *ledger, s *sent)
+	}{
+		{"twice", "ran 2 times", func(l *ledger, _ *sent) {
+			l.run("t1", "order", id, "/order/1", "school")
+			l.run("t2", "order", id, "/order/1", "school")
+		}},
+		{"refused", "answered 503, and ran", func(l *ledger, s *sent) {
+			l.end(s, http.StatusServiceUnavailable)
+			l.run("t1", "order", id, "/order/1", "school")
+		}},
+		{"unasked", "nobody sent it", func(l *ledger, _ *sent) { l.run("t1", "order", "other", "/order/1", "school") }},
+		{"path", "with path", func(l *ledger, _ *sent) { l.run("t1", "order", id, "/order/2", "school") }},
+		{"route", "ran at t1 of look", func(l *ledger, _ *sent) { l.run("t1", "look", id, "/order/1", "school") }},
+		{"workspace", "for workspace", func(l *ledger, _ *sent) { l.run("t1", "order", id, "/order/1", "club") }},
+		{"invented", "never ran", func(l *ledger, s *sent) { l.end(s, http.StatusOK) }},
+		{"lost", "got no answer", func(l *ledger, s *sent) {
+			l.run("t1", "order", id, "/order/1", "school")
+			l.end(s, 0)
+		}},
+		{"denied", "though route and key", func(l *ledger, s *sent) { l.end(s, http.StatusUnauthorized) }},
+		{"withdrawn", "after its key was withdrawn", func(l *ledger, _ *sent) {
+			l.withdrawn["k1"] = begun.Add(-time.Minute)
+			l.run("t1", "order", id, "/order/1", "school")
+		}},
+		{"drained", "after that was leaving", func(l *ledger, _ *sent) {
+			l.drained["t1"] = begun.Add(-time.Minute)
+			l.run("t1", "order", id, "/order/1", "school")
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			l := newLedger()
+			s := &sent{id: id, path: "/order/1", key: "k1", route: routes["order"], at: begun}
+			l.send(s)
+			tc.do(l, s)
+			found := strings.Join(l.judge(true), "\n")
+			is.True(strings.Contains(found, tc.want))
+		})
+	}
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,212 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"gypsumbeam.example/gypsumbeam/pkg/gatewaysettings"
+	"gypsumbeam.example/gypsumbeam/platform/kvstore"
+)
+
+// process is one entry host as a process of its own, with its ways to the store
+// and from its callers.
+type process struct {
+	name     string
+	binary   string
+	settings string
+	log      *os.File
+	door     *kvstore.Door
+	store    *relay
+	callers  *relay
+	// readiness is where the host says whether it is ready.
+	readiness string
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	stopped bool
+	// ready is what the host said at askedAt.
+	ready   bool
+	askedAt time.Time
+}
+
+// The ports of hosts and targets lie below those that the kernel gives to outgoing
+// connections, so that they are still free when a process starts again.
+const (
+	firstPort = 10000
+	portCount = 20000
+)
+
+// ports counts the ports that this process has tried.
+var ports atomic.Uint32
+
+// freeAddress returns an address on loopback that is free for TCP and UDP.
+func freeAddress() (string, error) {
+	var last error
+	for range portCount {
+		port := firstPort + (uint32(os.Getpid())*101+ports.Add(1))%portCount
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(int(port)))
+		if last = isFree(address); last == nil {
+			return address, nil
+		}
+	}
+	return "", last
+}
+
+// isFree returns an error if something listens at an address.
+func isFree(address string) error {
+	l, err := listen(address)
+	if err != nil {
+		return err
+	}
+	var lc net.ListenConfig
+	c, err := lc.ListenPacket(context.Background(), "udp", address)
+	if err != nil {
+		return errors.Join(err, l.Close())
+	}
+	return errors.Join(l.Close(), c.Close())
+}
+
+// write writes the settings file.
+func (p *process) write(s *gatewaysettings.Settings) error {
+	text, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(p.settings, text, 0o600)
+}
+
+// start runs the program, and again whenever it ends, until stop.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cmd := exec.CommandContext(context.Background(), p.binary, "--gateway", p.settings)
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.cmd, p.exited = cmd, make(chan struct{})
+	go p.watch(cmd, p.exited)
+	return nil
+}
+
+// restartPause is the time in which a process that ended is started again.
+const restartPause = 500 * time.Millisecond
+
+func (p *process) watch(cmd *exec.Cmd, exited chan struct{}) {
+	_ = cmd.Wait() // How it ended is not asked: it may have been killed.
+	close(exited)
+	time.Sleep(restartPause)
+	p.mu.Lock()
+	stopped := p.stopped
+	p.mu.Unlock()
+	if stopped {
+		return
+	}
+	if err := p.start(); err != nil {
+		_, _ = p.log.WriteString(err.Error()) // The run then fails by what is missing.
+	}
+}
+
+// terminate sends a signal that ends the process which runs now.
+func (p *process) terminate(sig syscall.Signal) {
+	p.signal(syscall.SIGCONT)
+	p.signal(sig)
+}
+
+// awaitExit returns when the process has ended, and kills it after the bound, as the
+// platform does.
+func (p *process) awaitExit(bound time.Duration) {
+	p.mu.Lock()
+	exited := p.exited
+	cmd := p.cmd
+	p.mu.Unlock()
+	select {
+	case <-exited:
+	case <-time.After(bound):
+		_ = cmd.Process.Kill() // It may have ended just now.
+		<-exited
+	}
+}
+
+// isReady asks the process whether it is ready.
+func (p *process) isReady() bool {
+	p.mu.Lock()
+	at, known := p.askedAt, p.ready
+	if time.Since(at) < readyInterval {
+		p.mu.Unlock()
+		return known
+	}
+	p.askedAt = time.Now()
+	p.mu.Unlock()
+	ready := askReady(p.readiness)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ready = ready
+	return ready
+}
+
+// readyInterval is the time between two such questions.
+const readyInterval = 200 * time.Millisecond
+
+// signal sends a signal to the process that runs now.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(s) // It may have ended already.
+}
+
+// stop kills the process for good.
+func (p *process) stop() {
+	p.mu.Lock()
+	p.stopped = true
+	exited := p.exited
+	p.mu.Unlock()
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	<-exited
+	_ = p.log.Close() // The process has ended.
+}
+
+// newProcess prepares a host in a folder.
+func newProcess(binary, folder, name, zone, region string, zones []gatewaysettings.Zone, door *kvstore.Door, storeAddress string) (*process, error) {
+	p := &process{name: name, binary: binary, settings: filepath.Join(folder, name+".json"), door: door}
+	var addresses [5]string
+	for i := range addresses {
+		a, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		addresses[i] = a
+	}
+	p.readiness = addresses[2]
+	var err error
+	if p.store, err = newRelay(storeAddress); err != nil {
+		return nil, err
+	}
+	if p.callers, err = newRelay(addresses[0]); err != nil {
+		return nil, err
+	}
+	if p.log, err = os.Create(filepath.Join(folder, name+".log")); err != nil {
+		return nil, err
+	}
+	s := &gatewaysettings.Settings{
+		Name: name, Store: p.store.address(), Zones: zones, Metrics: addresses[4],
+		Listen: gatewaysettings.Addresses{
+			Callers: addresses[0], Lookups: addresses[1], Readiness: addresses[2], Siblings: addresses[3],
+		},
+		Bounds: gatewaysettings.Bounds{Revoke: revokeBound.String(), Grace: graceBound.String()},
+	}
+	s.Zone, s.Region = zoneOf(zone), regionOf(region)
+	return p, p.write(s)
+}
--- /dev/null
+++ b/internal/soak/relay.go
@@ -0,0 +1,185 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// relayBytes is the size of one read.
+const relayBytes = 16 << 10
+
+// relayPoll is the time between two looks at whether a held direction goes on.
+const relayPoll = 5 * time.Millisecond
+
+// fault is how a relay treats its connections.
+type fault struct {
+	// delay is added to each read in either direction.
+	delay time.Duration
+	// holdUp and holdDown hold what goes to the server, or comes from it.
+	holdUp, holdDown bool
+}
+
+// relay passes TCP connections on to one address, and harms them on request.
+type relay struct {
+	l  net.Listener
+	to string
+
+	mu    sync.Mutex
+	fault fault
+	pairs map[*pair]struct{}
+}
+
+// pair is one connection on both sides.
+type pair struct {
+	r        *relay
+	from, to *net.TCPConn
+
+	mu sync.Mutex
+	// silent is set once the connection carries nothing any more.
+	silent bool
+}
+
+func newRelay(to string) (*relay, error) {
+	l, err := listen("127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{l: l, to: to, pairs: make(map[*pair]struct{})}
+	go r.accept()
+	return r, nil
+}
+
+func listen(address string) (net.Listener, error) {
+	var lc net.ListenConfig
+	return lc.Listen(context.Background(), "tcp", address)
+}
+
+func (r *relay) address() string { return r.l.Addr().String() }
+
+func (r *relay) accept() {
+	for {
+		c, err := r.l.Accept()
+		if err != nil {
+			return
+		}
+		go r.connect(c)
+	}
+}
+
+func (r *relay) connect(c net.Conn) {
+	var d net.Dialer
+	up, err := d.DialContext(context.Background(), "tcp", r.to)
+	from, ok := c.(*net.TCPConn)
+	if err != nil || !ok {
+		cut(from)
+		return
+	}
+	to, ok := up.(*net.TCPConn)
+	if !ok {
+		cut(from)
+		return
+	}
+	p := &pair{r: r, from: from, to: to}
+	r.mu.Lock()
+	r.pairs[p] = struct{}{}
+	r.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(to, from, func(f fault) bool { return f.holdUp }) })
+	both.Go(func() { p.copy(from, to, func(f fault) bool { return f.holdDown }) })
+	both.Wait()
+	_, _ = from.Close(), to.Close() // Both have ended.
+	r.mu.Lock()
+	delete(r.pairs, p)
+	r.mu.Unlock()
+}
+
+// cut resets a connection.
+func cut(c *net.TCPConn) {
+	if c == nil {
+		return
+	}
+	_ = c.SetLinger(0) // Then a close sends a reset.
+	_ = c.Close()      // It may be closed already.
+}
+
+// copy passes one direction on.
+func (p *pair) copy(dst, src *net.TCPConn, held func(fault) bool) {
+	buf := make([]byte, relayBytes)
+	for {
+		n, err := src.Read(buf)
+		p.pause(held)
+		if n > 0 {
+			if _, werr := dst.Write(buf[:n]); werr != nil {
+				cut(src)
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			_ = dst.CloseWrite() // It may be closed already.
+			return
+		}
+		if err != nil {
+			cut(dst)
+			return
+		}
+	}
+}
+
+// pause waits while the direction is held.
+func (p *pair) pause(held func(fault) bool) {
+	f := p.r.now()
+	time.Sleep(f.delay)
+	for p.isSilent() || held(p.r.now()) {
+		time.Sleep(relayPoll)
+	}
+}
+
+func (p *pair) isSilent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent
+}
+
+func (r *relay) now() fault {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fault
+}
+
+func (r *relay) set(f fault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fault = f
+}
+
+// each calls f with the open connections.
+func (r *relay) each(f func(p *pair)) {
+	r.mu.Lock()
+	open := make([]*pair, 0, len(r.pairs))
+	for p := range r.pairs {
+		open = append(open, p)
+	}
+	r.mu.Unlock()
+	for _, p := range open {
+		f(p)
+	}
+}
+
+// reset cuts all open connections.
+func (r *relay) reset() {
+	r.each(func(p *pair) { cut(p.from); cut(p.to) })
+}
+
+// silence lets the open connections carry nothing any more, without an end. New
+// ones work.
+func (r *relay) silence() {
+	r.each(func(p *pair) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.silent = true
+	})
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,306 @@
+// Package soak runs entry hosts as processes of their own, between stand-ins of
+// the platform's store and of targets, harms them from outside by a random
+// schedule, and judges what callers and targets see. A schedule is decided by its
+// seed; how the processes fare beside it is not.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"gypsumbeam.example/gypsumbeam/pkg/gatewaysettings"
+	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/platform/kvstore"
+)
+
+// The bounds that the soak's operators demand.
+const (
+	revokeBound  = 2500 * time.Millisecond
+	graceBound   = 5 * time.Second
+	drainBound   = 2 * time.Second
+	recoverBound = 15 * time.Second
+	// applyBound is the time in which a version must be in force.
+	applyBound = 2 * time.Second
+)
+
+const (
+	siteHost = "h.example"
+	// startBound is the time in which the hosts must take requests at first.
+	startBound = 10 * time.Second
+	// judgedTime is how long requests must be served at the end, and servedShare
+	// the share of them.
+	judgedTime  = 1500 * time.Millisecond
+	servedShare = 0.9
+	// callerCount is the number of callers.
+	callerCount = 24
+)
+
+// routes are the routes of the soak's document, by the first part of their paths.
+var routes = map[string]route{
+	"look":  {service: "look", repeatable: true},
+	"order": {service: "order"},
+	"file":  {service: "file"},
+}
+
+// targetCounts is how many targets each service has.
+var targetCounts = map[string]int{"look": 4, "order": 3, "file": 3}
+
+func zoneOf(name string) ids.Zone     { return ids.Zone(name) }
+func regionOf(name string) ids.Region { return ids.Region(name) }
+
+// workspaceOf returns the workspace that holds a key.
+func workspaceOf(key string) string {
+	if key == "k2" {
+		return "club"
+	}
+	return "school"
+}
+
+// Config says what one run does.
+type Config struct {
+	// Binary is the program, and Folder takes its settings and logs.
+	Binary, Folder string
+	// Seed decides the schedule.
+	Seed uint64
+	// Length is how long the schedule lasts.
+	Length time.Duration
+	// Planned leaves out all that is not planned work: then no request may be cut.
+	Planned bool
+	// Only names the kinds of events that happen; empty means all.
+	Only []string
+	// Events takes a line for each event; nil means none is written.
+	Events io.Writer
+}
+
+// Soak is one run.
+type Soak struct {
+	cfg    Config
+	random *rand.Rand
+	ledger *ledger
+	store  *kvstore.Store
+	hosts  []*process
+	begun  time.Time
+	events sync.WaitGroup
+
+	mu      sync.Mutex
+	targets []*target
+	// relays holds the way to each target, by its address.
+	relays  map[string]*relay
+	version int
+	// keys are those in the document, and used those that callers use.
+	keys, used []string
+	serial     int
+	servers    []*httptest.Server
+}
+
+// New returns a Soak that has not started.
+func New(cfg Config) *Soak {
+	return &Soak{
+		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 1)), ledger: newLedger(), store: &kvstore.Store{},
+		relays: make(map[string]*relay), keys: []string{"k1", "k2"}, used: []string{"k1", "k2"},
+	}
+}
+
+// Run plays the schedule and returns the promises that were broken. An error says
+// that the run could not be set up.
+func (s *Soak) Run() ([]string, error) {
+	defer s.close()
+	if err := s.setUp(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	for i := range callerCount {
+		c := &caller{
+			ledger: s.ledger, random: rand.New(rand.NewPCG(s.cfg.Seed, uint64(i)+2)),
+			addresses: s.addresses, keys: s.usedKeys,
+		}
+		callers.Go(func() { c.run(ctx) })
+	}
+	if !s.awaitService(startBound) {
+		s.ledger.fail("requests are not served %v after the start", startBound)
+	}
+	s.play()
+	if !s.awaitService(recoverBound) {
+		s.ledger.fail("requests are not served %v after all faults", recoverBound)
+	}
+	cancel()
+	callers.Wait()
+	return s.ledger.judge(s.cfg.Planned), nil
+}
+
+// Requests returns how many requests were served, and all.
+func (s *Soak) Requests() (served, all int) { return s.ledger.served(time.Time{}) }
+
+func (s *Soak) setUp() error {
+	s.begun = time.Now()
+	for service, n := range targetCounts {
+		for range n {
+			if _, err := s.addTarget(service, ""); err != nil {
+				return err
+			}
+		}
+	}
+	s.publish()
+	zones := []gatewaysettings.Zone{{Zone: "east-a", Region: "east"}, {Zone: "east-b", Region: "east"}, {Zone: "west-a", Region: "west"}}
+	for i, z := range append(zones, zones[0]) {
+		door := &kvstore.Door{Store: s.store}
+		srv := httptest.NewServer(door)
+		s.servers = append(s.servers, srv)
+		name := fmt.Sprintf("host-%d", i+1)
+		p, err := newProcess(s.cfg.Binary, s.cfg.Folder, name, string(z.Zone), string(z.Region), zones, door, srv.Listener.Addr().String())
+		if err != nil {
+			return err
+		}
+		if err := p.start(); err != nil {
+			return err
+		}
+		s.hosts = append(s.hosts, p)
+	}
+	return nil
+}
+
+// close ends all that was started.
+func (s *Soak) close() {
+	for _, p := range s.hosts {
+		p.stop()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.targets {
+		t.crash()
+	}
+	for _, srv := range s.servers {
+		srv.CloseClientConnections()
+		srv.Close()
+	}
+}
+
+// addTarget starts a target and registers it. At an address that is given, it takes
+// the place of one that has ended.
+func (s *Soak) addTarget(service, address string) (*target, error) {
+	s.mu.Lock()
+	s.serial++
+	id := fmt.Sprintf("i-%s-%d", service, s.serial)
+	s.mu.Unlock()
+	t, err := startTarget(s.ledger, id, service, address)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.relays[t.address] == nil {
+		r, err := newRelay(t.address)
+		if err != nil {
+			return nil, err
+		}
+		s.relays[t.address] = r
+	}
+	s.targets = append(s.targets, t)
+	s.register(t, "ready")
+	return t, nil
+}
+
+// register writes a target's entry. The caller holds the lock.
+func (s *Soak) register(t *target, state string) {
+	zone := []string{"east-a", "east-b", "west-a"}[int(t.id[len(t.id)-1])%3]
+	s.store.Put("servers/"+t.id, fmt.Sprintf(
+		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":6,"state":%q,"coldLeft":"0ms","seq":1,"born":%d}`,
+		t.service, s.relays[t.address].address(), zone, state, time.Now().UnixMilli()))
+}
+
+// publish writes the document with the keys of now.
+func (s *Soak) publish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	school := make([]string, 0, len(s.keys))
+	for _, k := range s.keys {
+		if workspaceOf(k) == "school" {
+			school = append(school, fmt.Sprintf("%q", k))
+		}
+	}
+	s.store.Put("op/config", fmt.Sprintf(`{"version":"r%d","services":[{"name":"look"},{"name":"order"},{"name":"file"}],
+	"tenants":[{"name":"school","apiKeys":[%s]},{"name":"club","apiKeys":["k2"]}],
+	"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeout":"5s","idleTimeout":"20s"},
+	"hosts":[{"host":%q,"paths":[
+	{"name":"look","prefix":"/look/","kind":"safe","service":"look","maxAttempts":3,"affinity":true,"timeout":"2500ms","targetLatency":"400ms"},
+	{"name":"order","prefix":"/order/","kind":"unsafe","service":"order","maxAttempts":2,"timeout":"2500ms","targetLatency":"400ms"},
+	{"name":"file","prefix":"/file/","kind":"upload","service":"file","maxAttempts":2,"timeout":"2500ms","targetLatency":"400ms"}]}]}`,
+		s.version, strings.Join(school, ","), siteHost))
+}
+
+func (s *Soak) usedKeys() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.used)
+}
+
+// addresses returns where callers connect: to the hosts that say they are ready.
+func (s *Soak) addresses() []string {
+	var all []string
+	for _, p := range s.hosts {
+		if p.isReady() {
+			all = append(all, p.callers.address())
+		}
+	}
+	return all
+}
+
+// awaitService returns once requests are served, or false after the bound.
+func (s *Soak) awaitService(bound time.Duration) bool {
+	for end := time.Now().Add(bound); time.Now().Before(end); {
+		since := time.Now()
+		time.Sleep(judgedTime)
+		served, all := s.ledger.served(since)
+		if all > callerCount && float64(served) >= servedShare*float64(all) {
+			return true
+		}
+	}
+	return false
+}
+
+// say writes a line about an event.
+func (s *Soak) say(format string, args ...any) {
+	if s.cfg.Events == nil {
+		return
+	}
+	line := time.Now().Format(clock) + " " + fmt.Sprintf(format, args...) + "\n"
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, _ = io.WriteString(s.cfg.Events, line) // Only for those who look.
+}
+
+// readyTimeout bounds one question whether a host is ready.
+const readyTimeout = 300 * time.Millisecond
+
+// askReady asks a host whether it is ready.
+func askReady(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readiness", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close() // It has no body.
+	return resp.StatusCode == http.StatusOK
+}
+
+// touch changes the file's time and nothing else.
+func touch(path string) {
+	now := time.Now()
+	_ = os.Chtimes(path, now, now) // A host then reads the same again.
+}
