internal/loadsim: timelines, drawings, kinds of requests, and a bound on shifts

A third site has two kinds of requests. The random sequence of the others is as before.

The demo's audit of "not run" tells how often a request was sent, and when.

--- a/internal/demo/audit_truth.go
+++ b/internal/demo/audit_truth.go
@@ -95,7 +95,8 @@
 		}
 		f.observations++
 		if w := ranByID[a.id]; w != nil && (a.sends < 2 || w.Arrived.After(a.lastSentAt)) {
-			f.broke("request %s (%s) ran at target %s", a.id, a.code, w.Target)
+			f.broke("request %s (%s), sent %d times, ran at target %s %v after its last send and %v before its answer",
+				a.id, a.code, a.sends, w.Target, w.Arrived.Sub(a.lastSentAt), a.headAt.Sub(w.Arrived))
 			continue
 		}
 		if w := ranByKey[a.idempotencyKey]; a.idempotencyKey != "" && w != nil && w.Arrived.Before(a.headAt) {
--- a/internal/loadsim/loadsim.go
+++ b/internal/loadsim/loadsim.go
@@ -44,10 +44,47 @@
 	// Swing is the height of the wave and Period its length.
 	Swing  float64
 	Period time.Duration
+	// Kinds are the kinds of requests; without any, all are look-ups with the times
+	// above.
+	Kinds []Kind
 	// CrossZone and CrossRegion are the ways between zones and regions, one way.
 	CrossZone, CrossRegion time.Duration
 }
 
+// Kind is one kind of request.
+type Kind struct {
+	Name string
+	// Part is its part of all requests.
+	Part float64
+	// Warm and Cold are its times of work.
+	Warm, Cold time.Duration
+	// Objective is the latency aimed at, and Deadline the longest wait.
+	Objective, Deadline time.Duration
+}
+
+// kinds returns the site's kinds, of which there is one at least.
+func (s *Site) kinds() []Kind {
+	if len(s.Kinds) > 0 {
+		return s.Kinds
+	}
+	return []Kind{{Name: "look-up", Part: 1, Warm: s.Warm, Cold: s.Cold, Objective: s.Objective, Deadline: s.Deadline}}
+}
+
+// pick returns a random kind.
+func (s *Site) pick(rnd *rand.Rand) Kind {
+	all := s.kinds()
+	if len(all) == 1 {
+		return all[0]
+	}
+	place := rnd.Float64()
+	for _, k := range all {
+		if place -= k.Part; place < 0 {
+			return k
+		}
+	}
+	return all[len(all)-1]
+}
+
 // Sharing is what hosts know of each other.
 type Sharing int
 
@@ -73,6 +110,8 @@
 	ByZone map[ids.Zone]float64
 	P50    time.Duration
 	P99    time.Duration
+	// Timeline tells what happened when.
+	Timeline *Timeline
 }
 
 // Share is the part of the requests that ended within the objective.
@@ -98,6 +137,7 @@
 	hosts   []*host
 	targets map[ids.Target]*target
 	regions map[ids.Zone]ids.Region
+	begun   time.Time
 
 	mu     sync.Mutex
 	rnd    *rand.Rand
@@ -123,17 +163,19 @@
 	r := &run{
 		site: site, sharing: sharing, rnd: rnd, targets: make(map[ids.Target]*target),
 		regions: make(map[ids.Zone]ids.Region), asked: make(map[ids.Zone]int), inAim: make(map[ids.Zone]int),
+		begun: time.Now(),
 	}
+	r.res.Timeline = &Timeline{}
 	r.build()
-	begun := time.Now()
 	stop := make(chan struct{})
 	var telling sync.WaitGroup
+	telling.Go(func() { r.watchSlots(stop) })
 	if sharing == Siblings {
 		telling.Go(func() { r.tellUntil(stop) })
 	}
 	var callers sync.WaitGroup
 	for _, z := range site.Zones {
-		callers.Go(func() { r.call(z, load, begun, d) })
+		callers.Go(func() { r.call(z, load, d) })
 	}
 	callers.Wait()
 	r.active.Wait()
@@ -165,7 +207,7 @@
 }
 
 // call sends the requests of one zone's callers.
-func (r *run) call(z Zone, load float64, begun time.Time, d time.Duration) {
+func (r *run) call(z Zone, load float64, d time.Duration) {
 	var near []*host
 	for _, h := range r.hosts {
 		if h.zone == z.Name {
@@ -173,7 +215,7 @@
 		}
 	}
 	for {
-		at := time.Since(begun)
+		at := time.Since(r.begun)
 		if at >= d {
 			return
 		}
@@ -182,37 +224,57 @@
 		gap := r.rnd.ExpFloat64() / (z.Rate * load * wave)
 		h := near[r.rnd.IntN(len(near))]
 		object := r.rnd.IntN(r.site.Objects)
-		spread := math.Exp(0.15 * r.rnd.NormFloat64())
+		q := request{zone: z, spread: math.Exp(0.15 * r.rnd.NormFloat64()), counts: at > d/10}
+		q.kind = r.site.pick(r.rnd)
 		r.mu.Unlock()
 		time.Sleep(time.Duration(gap * float64(time.Second)))
-		counts := at > d/10
-		r.active.Go(func() { r.request(h, z, fmt.Sprintf("%s/%d", z.Region, object), spread, counts) })
+		q.object = fmt.Sprintf("%s/%d", z.Region, object)
+		r.active.Go(func() { r.request(h, q) })
 	}
 }
 
+// request is one request of a caller.
+type request struct {
+	zone   Zone
+	kind   Kind
+	object string
+	// spread multiplies its work.
+	spread float64
+	// counts says that it is part of the result.
+	counts bool
+}
+
 // request runs one request to its end.
-func (r *run) request(h *host, z Zone, object string, spread float64, counts bool) {
+func (r *run) request(h *host, q request) {
 	begun := time.Now()
-	name := placer.NameObject("look-up", object)
+	name := placer.NameObject(q.kind.Name, q.object)
 	c, err := h.placer.Pick(placer.Want{
-		Service: "s", Class: "look-up", Object: name, Objective: r.site.Objective, Left: r.site.Deadline,
+		Service: "s", Class: q.kind.Name, Object: name, Objective: q.kind.Objective, Left: q.kind.Deadline,
 	})
 	if err != nil {
-		r.record(z, counts, 0, false)
+		r.record(q, begun, false)
 		return
 	}
+	r.place(q, begun, c.Zone)
 	if r.sharing == Everything {
 		r.tell()
 	}
-	way := r.way(z, c.Zone)
+	way := r.way(q.zone, c.Zone)
 	time.Sleep(way)
-	ran := r.targets[c.ID].serve(name, spread)
+	ran := r.targets[c.ID].serve(name, q)
 	time.Sleep(way)
 	c.Done(placer.Outcome{Answered: ran, Shed: !ran})
 	if r.sharing == Everything {
 		r.tell()
 	}
-	r.record(z, counts, time.Since(begun), ran)
+	r.record(q, begun, ran)
+}
+
+// place notes where a request runs.
+func (r *run) place(q request, begun time.Time, to ids.Zone) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.res.Timeline.place(begun.Sub(r.begun), q.zone.Region, r.regions[to])
 }
 
 func (r *run) way(z Zone, to ids.Zone) time.Duration {
@@ -226,27 +288,53 @@
 	}
 }
 
-func (r *run) record(z Zone, counts bool, took time.Duration, ran bool) {
-	if !counts {
-		return
-	}
+// record counts a request that has ended.
+func (r *run) record(q request, begun time.Time, ran bool) {
+	took := time.Since(begun)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.res.Timeline.add(begun.Sub(r.begun), q.kind.Name, q.zone.Name, took, ran)
+	if !q.counts {
+		return
+	}
 	r.res.Asked++
-	r.asked[z.Name]++
+	r.asked[q.zone.Name]++
 	switch {
 	case !ran:
 		r.res.Refused++
 		return
-	case took <= r.site.Objective:
+	case took <= q.kind.Objective:
 		r.res.InAim++
-		r.inAim[z.Name]++
+		r.inAim[q.zone.Name]++
 	default:
 		r.res.Late++
 	}
 	r.took = append(r.took, took)
 }
 
+// watchSlots notes how many slots are in use.
+func (r *run) watchSlots(stop <-chan struct{}) {
+	t := time.NewTicker(tellInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			r.noteSlots()
+		case <-stop:
+			return
+		}
+	}
+}
+
+func (r *run) noteSlots() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.res.Timeline.part(time.Since(r.begun))
+	for _, t := range r.targets {
+		p.Busy[t.zone] += float64(t.busy()) * tellInterval.Seconds() / step.Seconds()
+	}
+}
+
 func (r *run) result() Result {
 	r.res.ByZone = make(map[ids.Zone]float64)
 	for z, n := range r.asked {
--- a/internal/loadsim/loadsim_test.go
+++ b/internal/loadsim/loadsim_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,6 +48,45 @@
 	}
 }
 
+// Waves alone move no more than a part of a region's requests to other regions from
+// one window to the next, at any load.
+func TestRandomisedWavesShiftSlowly(t *testing.T) {
+	const maxShift = 0.15 // the operators' bound
+	const warming = 6 * time.Second
+	// busy multiplies rates alone: with few requests in a window their chance spread
+	// would count as a shift.
+	const busy = 8
+	for _, site := range []loadsim.Site{loadsim.Shop(), loadsim.Courts()} {
+		for _, load := range []float64{1, 1.5} {
+			t.Run(fmt.Sprintf("%s/%.1f", site.Name, load), func(t *testing.T) {
+				large := site
+				large.Slots *= busy
+				shift := play(t, large, loadsim.Siblings, busy*load).Timeline.Shift(warming)
+				t.Logf("largest shift %.3f", shift)
+				is.New(t).True(shift <= maxShift)
+			})
+		}
+	}
+}
+
+// A play with two kinds draws its timeline.
+func TestDrawings(t *testing.T) {
+	is := is.New(t)
+	res := play(t, loadsim.Desk(), loadsim.Siblings, 1)
+	files, err := res.Timeline.Draw(t.TempDir(), "desk")
+	is.NoErr(err)
+	is.Equal(len(files), 4)
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		is.NoErr(err)
+		is.True(strings.HasPrefix(string(text), "<?xml") && strings.Contains(string(text), "<svg"))
+	}
+	last := res.Timeline.Parts[len(res.Timeline.Parts)-2]
+	is.Equal(len(last.Kinds), 2)
+	is.Equal(len(last.Zones), 6)
+	is.True(last.Kinds["look-up"].Percentile(99) >= last.Kinds["look-up"].Percentile(50))
+}
+
 // At twice the load, cold work and queues as long as callers bear must not take
 // all slots for good: the same targets can serve nine of ten in time.
 func TestRandomisedOverloadDoesNotCollapse(t *testing.T) {
--- a/internal/loadsim/sites.go
+++ b/internal/loadsim/sites.go
@@ -44,3 +44,18 @@
 	}
 	return s
 }
+
+// Desk returns the shop with two kinds of requests, of which the smaller one has
+// less work and less time, as it comes from a service that lacks room of its own.
+func Desk() Site {
+	s := Shop()
+	s.Name = "desk"
+	s.Kinds = []Kind{
+		{Name: "look-up", Part: 0.8, Warm: s.Warm, Cold: s.Cold, Objective: s.Objective, Deadline: s.Deadline},
+		{
+			Name: "sheet", Part: 0.2, Warm: 77 * time.Millisecond, Cold: 256 * time.Millisecond,
+			Objective: 200 * time.Millisecond, Deadline: 1200 * time.Millisecond,
+		},
+	}
+	return s
+}
--- a/internal/loadsim/target.go
+++ b/internal/loadsim/target.go
@@ -34,7 +34,7 @@
 }
 
 // serve runs a request and reports whether it did: a full queue sheds it.
-func (t *target) serve(o placer.Object, spread float64) bool {
+func (t *target) serve(o placer.Object, q request) bool {
 	t.mu.Lock()
 	if t.waiting >= queueFactor*t.site.Slots {
 		t.mu.Unlock()
@@ -43,20 +43,23 @@
 	t.waiting++
 	t.mu.Unlock()
 	<-t.free
-	work := t.start(o)
-	time.Sleep(time.Duration(float64(work) * spread))
+	work := t.start(o, q.kind)
+	time.Sleep(time.Duration(float64(work) * q.spread))
 	t.free <- struct{}{}
 	return true
 }
 
+// busy returns the number of slots in use.
+func (t *target) busy() int { return t.site.Slots - len(t.free) }
+
 // start takes a request out of the queue and returns how long its work is.
-func (t *target) start(o placer.Object) time.Duration {
+func (t *target) start(o placer.Object, k Kind) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.waiting--
-	work := t.site.Cold
+	work := k.Cold
 	if i := slices.Index(t.lately, o); i >= 0 {
-		work = t.site.Warm
+		work = k.Warm
 		t.lately = slices.Delete(t.lately, i, i+1)
 	}
 	t.lately = slices.Insert(t.lately, 0, o)
