--- a/internal/loadsim/plotter.go
+++ b/internal/loadsim/plotter.go
@@ -15,8 +15,8 @@
 
 // The size of a drawing.
 const (
-	drawingWidth  = 24 * vg.Centimeter
-	drawingHeight = 10 * vg.Centimeter
+	drawingWidth  = 24 * vg.Centimeter //nolint:misspell // The field of the library is spelt so.
+	drawingHeight = 10 * vg.Centimeter //nolint:misspell // As above.
 )
 
 // series is one line of a drawing.
@@ -100,7 +100,7 @@
 		if err != nil {
 			return err
 		}
-		line.Color = plotutil.Color(i)
+		line.Color = plotutil.Color(i) //nolint:misspell // The field of the library is spelt so.
 		line.Dashes = plotutil.Dashes(i / len(plotutil.SoftColors))
 		p.Add(line)
 		p.Legend.Add(s.name, line)
