pkg/limiter: a loan is told back before its lender can have it

The queue's timer may be about to fire: beside load the lender has the loan back, and tells so, before the borrower's word comes. Nothing was used by both: the borrower had dropped the loan under its lock.

Ruled out: loans' ends (the checker counts each with its end, the lender's is 0.1 s later), and stale times behind locks, which make a share smaller only.

Change: the borrower tells before it queues. TestLoanIsToldBackBeforeItsLenderHasIt fails without it.

--- a/pkg/limiter/borrower.go
+++ b/pkg/limiter/borrower.go
@@ -183,5 +183,6 @@
 func (l *Limiter) handBack(b *bucket, i int) {
 	o := b.borrowed[i]
 	tokens := b.handBack(i)
+	l.tell(b) // Before the lender can have it back.
 	l.returns.add(b.workspace, o, o.burst, tokens)
 }
--- a/pkg/limiter/loan_test.go
+++ b/pkg/limiter/loan_test.go
@@ -300,3 +300,19 @@
 		is.Equal(len(w.checker.Breaches()), 0)
 	})
 }
+
+// A lender that has its loan back at once, as it may beside load, uses it while the
+// borrower no longer counts it.
+func TestLoanIsToldBackBeforeItsLenderHasIt(t *testing.T) {
+	is := is.New(t)
+	check := &checker.Checker{}
+	check.RatesLimit("ws", 1, request, 10*request)
+	l := New(Config{Self: "borrower", Lease: &fakeHost{}, Checker: check})
+	now := time.Now()
+	b := newBucket("ws", now)
+	b.borrow(&borrowedLoan{lender: "lender", number: 1, burst: 4 * request, end: now.Add(time.Minute)}, request)
+	l.tell(b)
+	l.handBack(b, 0)
+	check.RatesShare("ws", "lender", 0, []checker.Share{{Rate: request, Burst: 10 * request, Until: now.Add(time.Minute)}})
+	is.Equal(len(check.Breaches()), 0)
+}
--- a/pkg/limiter/waiter.go
+++ b/pkg/limiter/waiter.go
@@ -101,7 +101,6 @@
 
 // handBackSpent returns the loans on demand that no waiter needs.
 func (l *Limiter) handBackSpent(b *bucket) {
-	changed := false
 	for i := 0; i < len(b.borrowed); {
 		o := b.borrowed[i]
 		rest := b.capacity() - o.burst
@@ -110,10 +109,6 @@
 			continue
 		}
 		l.handBack(b, i)
-		changed = true
-	}
-	if changed {
-		l.tell(b)
 	}
 }
 
