--- a/internal/loadsim/args.go
+++ b/internal/loadsim/args.go
@@ -33,7 +33,7 @@
 	var plays []play
 	for _, site := range []Site{Shop(), Courts(), Desk()} {
 		for _, load := range a.Load {
-			for _, s := range []Sharing{Nothing, Siblings, Everything} {
+			for _, s := range []Sharing{Nothing, Rights, Siblings, Everything} {
 				plays = append(plays, play{site, s, load})
 			}
 		}
--- a/internal/loadsim/loadsim.go
+++ b/internal/loadsim/loadsim.go
@@ -15,6 +15,7 @@
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
 	"gypsumbeam.example/gypsumbeam/pkg/placer"
 	"gypsumbeam.example/gypsumbeam/pkg/registrar"
+	"gypsumbeam.example/gypsumbeam/pkg/rendezvous"
 )
 
 // Zone is an availability zone with its callers and targets.
@@ -96,11 +97,13 @@
 	Siblings
 	// Everything is known to every host at once: the oracle.
 	Everything
+	// Rights: each slot belongs to one host, which uses no others.
+	Rights
 )
 
 // String returns the name of a way to share knowledge.
 func (s Sharing) String() string {
-	return [...]string{"nothing", "siblings", "everything"}[s]
+	return [...]string{"nothing", "siblings", "everything", "rights"}[s]
 }
 
 // Result is what became of a run's requests.
@@ -200,10 +203,40 @@
 		for i := range z.Hosts {
 			h := &host{name: ids.Instance(fmt.Sprintf("%s-%d", z.Name, i)), zone: z.Name}
 			h.placer = placer.New(placer.Config{Zone: z.Name, Regions: r.regions})
-			h.placer.SetTargets(all)
 			r.hosts = append(r.hosts, h)
 		}
 	}
+	for i, h := range r.hosts {
+		if r.sharing == Rights {
+			h.placer.SetTargets(r.rightsOf(i, all))
+		} else {
+			h.placer.SetTargets(all)
+		}
+	}
+}
+
+// rightsOf returns the targets of which a host has slots. The slots of each target
+// go to hosts by rendezvous, those of its region first.
+func (r *run) rightsOf(host int, all []registrar.Target) []registrar.Target {
+	var mine []registrar.Target
+	for _, t := range all {
+		var near []int
+		for i, h := range r.hosts {
+			if r.regions[h.zone] == r.regions[t.Zone] {
+				near = append(near, i)
+			}
+		}
+		t.Slots = 0
+		for n := range r.site.Slots {
+			if owner := rendezvous.Pick(fmt.Sprintf("%s/%d", t.ID, n), len(near), 1); near[owner[0]] == host {
+				t.Slots++
+			}
+		}
+		if t.Slots > 0 {
+			mine = append(mine, t)
+		}
+	}
+	return mine
 }
 
 // call sends the requests of one zone's callers.
--- a/internal/loadsim/loadsim_test.go
+++ b/internal/loadsim/loadsim_test.go
@@ -29,7 +29,8 @@
 }
 
 // What siblings tell each other serves nearly as many in time as if every host
-// knew everything at once, and far more than if each knew only its own requests.
+// knew everything at once, and far more than if each knew only its own requests, or
+// used only slots of its own.
 func TestRandomisedSharedKnowledgeIsWorthIt(t *testing.T) {
 	for _, c := range []struct {
 		site loadsim.Site
@@ -44,6 +45,7 @@
 			alone := play(t, c.site, loadsim.Nothing, c.load).Share()
 			is.True(told >= 0.9*oracle) // the oracle's share
 			is.True(told > alone)
+			is.True(told > play(t, c.site, loadsim.Rights, c.load).Share())
 		})
 	}
 }
