--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -178,35 +178,51 @@
 	_ = p.log.Close() // The process has ended.
 }
 
-// newProcess prepares a host in a folder.
-func newProcess(binary, folder, name, zone, region string, zones []gatewaysettings.Zone, door *kvstore.Door, storeAddress string) (*process, error) {
-	p := &process{name: name, binary: binary, settings: filepath.Join(folder, name+".json"), door: door}
-	var addresses [5]string
-	for i := range addresses {
-		a, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
-		addresses[i] = a
+// processConfig says where a host runs and what it reaches.
+type processConfig struct {
+	binary, folder, name string
+	at                   gatewaysettings.Zone
+	zones                []gatewaysettings.Zone
+	door                 *kvstore.Door
+	// store is the address at which the door listens.
+	store string
+}
+
+// newProcess prepares a host: its relays, its log and its settings file.
+func newProcess(cfg processConfig) (*process, error) {
+	p := &process{
+		name: cfg.name, binary: cfg.binary, door: cfg.door, settings: filepath.Join(cfg.folder, cfg.name+".json"),
 	}
-	p.readiness = addresses[2]
-	var err error
-	if p.store, err = newRelay(storeAddress); err != nil {
+	addresses, err := hostAddresses()
+	if err != nil {
 		return nil, err
 	}
-	if p.callers, err = newRelay(addresses[0]); err != nil {
+	p.readiness = addresses.Readiness
+	if p.store, err = newRelay(cfg.store); err != nil {
 		return nil, err
 	}
-	if p.log, err = os.Create(filepath.Join(folder, name+".log")); err != nil {
+	if p.callers, err = newRelay(addresses.Callers); err != nil {
 		return nil, err
 	}
-	s := &gatewaysettings.Settings{
-		Name: name, Store: p.store.address(), Zones: zones, Metrics: addresses[4],
-		Listen: gatewaysettings.Addresses{
-			Callers: addresses[0], Lookups: addresses[1], Readiness: addresses[2], Siblings: addresses[3],
-		},
+	if p.log, err = os.Create(filepath.Join(cfg.folder, cfg.name+".log")); err != nil {
+		return nil, err
+	}
+	return p, p.write(&gatewaysettings.Settings{
+		Name: cfg.name, Zone: cfg.at.Zone, Region: cfg.at.Region, Zones: cfg.zones,
+		Store: p.store.address(), Listen: addresses,
 		Bounds: gatewaysettings.Bounds{Revoke: revokeBound.String(), Grace: graceBound.String()},
+	})
+}
+
+// hostAddresses returns addresses for one host that are free now.
+func hostAddresses() (gatewaysettings.Addresses, error) {
+	var a gatewaysettings.Addresses
+	for _, to := range []*string{&a.Callers, &a.Lookups, &a.Readiness, &a.Siblings} {
+		free, err := freeAddress()
+		if err != nil {
+			return a, err
+		}
+		*to = free
 	}
-	s.Zone, s.Region = zoneOf(zone), regionOf(region)
-	return p, p.write(s)
+	return a, nil
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -18,7 +18,6 @@
 	"time"
 
 	"gypsumbeam.example/gypsumbeam/pkg/gatewaysettings"
-	"gypsumbeam.example/gypsumbeam/pkg/ids"
 	"gypsumbeam.example/gypsumbeam/platform/kvstore"
 )
 
@@ -54,9 +53,6 @@
 // targetCounts is how many targets each service has.
 var targetCounts = map[string]int{"look": 4, "order": 3, "file": 3}
 
-func zoneOf(name string) ids.Zone     { return ids.Zone(name) }
-func regionOf(name string) ids.Region { return ids.Region(name) }
-
 // workspaceOf returns the workspace that holds a key.
 func workspaceOf(key string) string {
 	if key == "k2" {
@@ -152,12 +148,14 @@
 	}
 	s.publish()
 	zones := []gatewaysettings.Zone{{Zone: "east-a", Region: "east"}, {Zone: "east-b", Region: "east"}, {Zone: "west-a", Region: "west"}}
-	for i, z := range append(zones, zones[0]) {
+	for i, z := range slices.Concat(zones, zones[:1]) {
 		door := &kvstore.Door{Store: s.store}
 		srv := httptest.NewServer(door)
 		s.servers = append(s.servers, srv)
-		name := fmt.Sprintf("host-%d", i+1)
-		p, err := newProcess(s.cfg.Binary, s.cfg.Folder, name, string(z.Zone), string(z.Region), zones, door, srv.Listener.Addr().String())
+		p, err := newProcess(processConfig{
+			binary: s.cfg.Binary, folder: s.cfg.Folder, name: fmt.Sprintf("host-%d", i+1),
+			at: z, zones: zones, door: door, store: srv.Listener.Addr().String(),
+		})
 		if err != nil {
 			return err
 		}
@@ -212,7 +210,7 @@
 
 // register writes a target's entry. The caller holds the lock.
 func (s *Soak) register(t *target, state string) {
-	zone := []string{"east-a", "east-b", "west-a"}[int(t.id[len(t.id)-1])%3]
+	zone := []string{"east-a", "east-b", "west-a"}[int(t.id[len(t.id)-1])%3] // by its number
 	s.store.Put("servers/"+t.id, fmt.Sprintf(
 		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":6,"state":%q,"coldLeft":"0ms","seq":1,"born":%d}`,
 		t.service, s.relays[t.address].address(), zone, state, time.Now().UnixMilli()))
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -29,12 +29,13 @@
 
 const (
 	// keyMargin is what a confirmation must be younger than a withdrawn key may
-	// still work, for the time between the check and the send.
+	// still work, for the time between the check and the send. It is a half of a
+	// bound that is shorter than twice that.
 	keyMargin = 600 * time.Millisecond
 	// tickInterval is the time between two rounds of upkeep.
 	tickInterval = 100 * time.Millisecond
 	// acceptTime is how long a leaving host takes new requests, by which callers
-	// have asked anew where to connect.
+	// have asked anew where to connect. Of a short grace it takes a half.
 	acceptTime = 2500 * time.Millisecond
 	// stopMargin is left of the grace for the end of the process.
 	stopMargin = 500 * time.Millisecond
@@ -111,7 +112,7 @@
 	h.handler = gateway.New(gateway.Config{
 		Headers: cfg.Headers, Routes: h, Confirmer: cfg.Confirmer, Placer: h.placer, Quota: &h.allotter,
 		Sender: h.sender, Budget: &h.budget, Recorder: h.recorder,
-		KeyBound: h.keyBound, RetryRatio: func() float64 { return h.limits.Load().RetryRatio },
+		KeyBound: h.KeyBound, RetryRatio: func() float64 { return h.limits.Load().RetryRatio },
 	})
 	h.gossiper = siblings.New(siblings.Config{
 		Self: cfg.Self, Conn: cfg.Conn, Hosts: h.lister.Hosts, Ready: h.Ready, State: cfg.State,
@@ -127,8 +128,11 @@
 // SetBounds puts changed bounds in force.
 func (h *Host) SetBounds(b Bounds) { h.limits.Store(&b) }
 
-// keyBound is how old the proof may be that a key is in force.
-func (h *Host) keyBound() time.Duration { return h.limits.Load().Revoke - keyMargin }
+// KeyBound returns how old the proof may be that a key is in force.
+func (h *Host) KeyBound() time.Duration {
+	revoke := h.limits.Load().Revoke
+	return revoke - min(keyMargin, revoke/2)
+}
 
 // share returns this host's part of what all hosts may do together.
 func (h *Host) share() float64 { return 1 / float64(max(len(h.lister.Hosts()), 1)) }
@@ -175,7 +179,7 @@
 // Ready reports whether this host takes callers.
 func (h *Host) Ready() bool {
 	age, ok := h.cfg.Confirmer.Age()
-	return !h.leaving.Load() && h.router.Load() != nil && ok && age < h.keyBound()
+	return !h.leaving.Load() && h.router.Load() != nil && ok && age < h.KeyBound()
 }
 
 // Lister returns what look-ups are answered from.
@@ -185,11 +189,12 @@
 // finished, and the rest is cut when the grace is over.
 func (h *Host) Stop() {
 	h.log.Info("leaving")
-	end := time.Now().Add(h.limits.Load().Grace - stopMargin)
+	grace := h.limits.Load().Grace - stopMargin
+	end := time.Now().Add(grace)
 	h.leaving.Store(true)
 	h.lister.SetSelf(h.cfg.Self, false)
 	h.handler.Leave()
-	time.Sleep(acceptTime)
+	time.Sleep(min(acceptTime, grace/2))
 	h.handler.Refuse()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
