--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -25,7 +25,7 @@
 	binary   string
 	settings string
 	log      *os.File
-	door     *kvstore.Door
+	endpoint *kvstore.Endpoint
 	store    *relay
 	callers  *relay
 	// readiness is where the host says whether it is ready.
@@ -183,15 +183,15 @@
 	binary, folder, name string
 	at                   gatewaysettings.Zone
 	zones                []gatewaysettings.Zone
-	door                 *kvstore.Door
-	// store is the address at which the door listens.
+	endpoint             *kvstore.Endpoint
+	// store is the address at which the endpoint listens.
 	store string
 }
 
 // newProcess prepares a host: its relays, its log and its settings file.
 func newProcess(cfg processConfig) (*process, error) {
 	p := &process{
-		name: cfg.name, binary: cfg.binary, door: cfg.door, settings: filepath.Join(cfg.folder, cfg.name+".json"),
+		name: cfg.name, binary: cfg.binary, endpoint: cfg.endpoint, settings: filepath.Join(cfg.folder, cfg.name+".json"),
 	}
 	addresses, err := hostAddresses()
 	if err != nil {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -29,7 +29,7 @@
 	{"killAll", false, (*Soak).killAll},
 	{"pause", false, (*Soak).pauseHost},
 	{"storeFault", false, (*Soak).harmStore},
-	{"doorFault", false, (*Soak).harmDoor},
+	{"endpointFault", false, (*Soak).harmEndpoint},
 	{"storeLink", false, func(s *Soak, r *rand.Rand) { s.harmLink(s.host(r).store, r) }},
 	{"callerLink", false, func(s *Soak, r *rand.Rand) { s.harmLink(s.host(r).callers, r) }},
 	{"targetLink", false, (*Soak).harmTargetLink},
@@ -230,22 +230,22 @@
 	s.say("store: %+v", f)
 	s.store.SetFaults(f)
 	for _, p := range s.hosts {
-		p.door.SetFaults(f)
+		p.endpoint.SetFaults(f)
 	}
 	time.Sleep(between(r, 500*time.Millisecond, 4*time.Second))
 	s.store.SetFaults(kvstore.Faults{})
 	for _, p := range s.hosts {
-		p.door.SetFaults(kvstore.Faults{})
+		p.endpoint.SetFaults(kvstore.Faults{})
 	}
 }
 
-func (s *Soak) harmDoor(r *rand.Rand) {
+func (s *Soak) harmEndpoint(r *rand.Rand) {
 	p := s.host(r)
 	f := randomFaults(r)
 	s.say("store for %s: %+v", p.name, f)
-	p.door.SetFaults(f)
+	p.endpoint.SetFaults(f)
 	time.Sleep(between(r, 500*time.Millisecond, 5*time.Second))
-	p.door.SetFaults(kvstore.Faults{})
+	p.endpoint.SetFaults(kvstore.Faults{})
 }
 
 func (s *Soak) harmTargetLink(r *rand.Rand) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -149,12 +149,12 @@
 	s.publish()
 	zones := []gatewaysettings.Zone{{Zone: "east-a", Region: "east"}, {Zone: "east-b", Region: "east"}, {Zone: "west-a", Region: "west"}}
 	for i, z := range slices.Concat(zones, zones[:1]) {
-		door := &kvstore.Door{Store: s.store}
-		srv := httptest.NewServer(door)
+		endpoint := &kvstore.Endpoint{Store: s.store}
+		srv := httptest.NewServer(endpoint)
 		s.servers = append(s.servers, srv)
 		p, err := newProcess(processConfig{
 			binary: s.cfg.Binary, folder: s.cfg.Folder, name: fmt.Sprintf("host-%d", i+1),
-			at: z, zones: zones, door: door, store: srv.Listener.Addr().String(),
+			at: z, zones: zones, endpoint: endpoint, store: srv.Listener.Addr().String(),
 		})
 		if err != nil {
 			return err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -91,7 +91,7 @@
 
 // Hosts that the store turns away, while it serves the others, keep to what is in
 // force; late writes and lost answers do no harm.
-func TestStoreTurnsHostsAway(t *testing.T) { play(t, false, "doorFault", "newKey", "release") }
+func TestStoreTurnsHostsAway(t *testing.T) { play(t, false, "endpointFault", "newKey", "release") }
 
 // Under faults of all kinds what must always hold does, and requests are served
 // again when they end.
