--- a/internal/loadsim/loadsim.go
+++ b/internal/loadsim/loadsim.go
@@ -215,8 +215,8 @@
 	}
 }
 
-// rightsOf returns the targets of which a host has slots. The slots of each target
-// go to hosts by rendezvous, those of its region first.
+// rightsOf returns the targets of which a host has slots, with those. The slots of
+// each target go to the hosts of its region by rendezvous.
 func (r *run) rightsOf(host int, all []registrar.Target) []registrar.Target {
 	var mine []registrar.Target
 	for _, t := range all {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -142,7 +142,7 @@
 			faults = append(faults, fmt.Sprintf("reached %s %v after that was leaving", r.target, r.at.Sub(at)))
 		}
 	}
-	if lost := s.status == 0 || s.status == http.StatusBadGateway || s.status == http.StatusGatewayTimeout; lost && len(runs) > 0 {
+	if s.isLost() && len(runs) > 0 {
 		faults = append(faults, fmt.Sprintf("ran, and got no answer (%d)", s.status))
 	}
 	if own := s.status == http.StatusNotFound || s.status == http.StatusUnauthorized; own && !ok {
@@ -151,6 +151,15 @@
 	return faults
 }
 
+// isLost reports whether a request got no answer, or a host's own in place of its
+// target's, before its route's timeout. After that the operators' bound ends it.
+func (s *sent) isLost() bool {
+	if s.ended.Sub(s.at) >= routeTimeout {
+		return false
+	}
+	return s.status == 0 || s.status == http.StatusBadGateway || s.status == http.StatusGatewayTimeout
+}
+
 // promises reports whether a status says that a request did not run.
 func promises(status int) bool {
 	switch status {
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -55,3 +55,17 @@
 		})
 	}
 }
+
+// A request that was cut at its route's timeout is not lost; one cut before it is.
+func TestLedgerKnowsTheTimeout(t *testing.T) {
+	const id = "0123456789abcdef"
+	for after, lost := range map[time.Duration]bool{routeTimeout - time.Millisecond: true, routeTimeout: false} {
+		is := is.New(t)
+		l := newLedger()
+		s := &sent{id: id, path: "/order/1", key: "k1", route: routes["order"], at: time.Now().Add(-after)}
+		l.send(s)
+		l.run("t1", "order", id, "/order/1", "school")
+		s.status, s.ended = http.StatusGatewayTimeout, s.at.Add(after)
+		is.Equal(len(l.judge(true)) > 0, lost)
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -27,6 +27,8 @@
 	graceBound   = 5 * time.Second
 	drainBound   = 2 * time.Second
 	recoverBound = 15 * time.Second
+	// routeTimeout is the timeout of all routes.
+	routeTimeout = 2500 * time.Millisecond
 	// applyBound is the time in which a version must be in force.
 	applyBound = 2 * time.Second
 )
@@ -227,14 +229,14 @@
 			school = append(school, fmt.Sprintf("%q", k))
 		}
 	}
-	s.store.Put("op/config", fmt.Sprintf(`{"version":"r%d","services":[{"name":"look"},{"name":"order"},{"name":"file"}],
-	"tenants":[{"name":"school","apiKeys":[%s]},{"name":"club","apiKeys":["k2"]}],
+	s.store.Put("op/config", fmt.Sprintf(`{"version":"r%[1]d","services":[{"name":"look"},{"name":"order"},{"name":"file"}],
+	"tenants":[{"name":"school","apiKeys":[%[2]s]},{"name":"club","apiKeys":["k2"]}],
 	"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeout":"5s","idleTimeout":"20s"},
-	"hosts":[{"host":%q,"paths":[
-	{"name":"look","prefix":"/look/","kind":"safe","service":"look","maxAttempts":3,"affinity":true,"timeout":"2500ms","targetLatency":"400ms"},
-	{"name":"order","prefix":"/order/","kind":"unsafe","service":"order","maxAttempts":2,"timeout":"2500ms","targetLatency":"400ms"},
-	{"name":"file","prefix":"/file/","kind":"upload","service":"file","maxAttempts":2,"timeout":"2500ms","targetLatency":"400ms"}]}]}`,
-		s.version, strings.Join(school, ","), siteHost))
+	"hosts":[{"host":%[3]q,"paths":[
+	{"name":"look","prefix":"/look/","kind":"safe","service":"look","maxAttempts":3,"affinity":true,"timeout":%[4]q,"targetLatency":"400ms"},
+	{"name":"order","prefix":"/order/","kind":"unsafe","service":"order","maxAttempts":2,"timeout":%[4]q,"targetLatency":"400ms"},
+	{"name":"file","prefix":"/file/","kind":"upload","service":"file","maxAttempts":2,"timeout":%[4]q,"targetLatency":"400ms"}]}]}`,
+		s.version, strings.Join(school, ","), siteHost, routeTimeout.String()))
 }
 
 func (s *Soak) usedKeys() []string {
