internal/soak: stalls of the machine are noted, and told

As for the platform's rules, promises with a time bound hold for machines that run.

What must always hold is judged all the same. A test holds that both are so, and that 3 s later a cut is found again.

--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -41,6 +42,8 @@
 	// withdrawn holds when a key's withdrawal was acknowledged, and drained when
 	// a target's leaving was.
 	withdrawn, drained map[string]time.Time
+	// stalls are the ends of the times in which the machine stood still.
+	stalls []time.Time
 }
 
 func newLedger() *ledger {
@@ -102,6 +105,41 @@
 	l.drained[target] = time.Now()
 }
 
+const (
+	// stallTick is the time between two looks at the clock, and stallTime the least
+	// delay of one that counts as a stall of the machine.
+	stallTick = 50 * time.Millisecond
+	stallTime = 400 * time.Millisecond
+	// calmTime is how long the machine must have been without a stall for promises
+	// with a time bound to be judged.
+	calmTime = 3 * time.Second
+)
+
+// watchStalls notes stalls of the machine until ctx ends.
+func (l *ledger) watchStalls(ctx context.Context) {
+	last := time.Now()
+	for ctx.Err() == nil {
+		time.Sleep(stallTick)
+		now := time.Now()
+		if now.Sub(last) > stallTime {
+			l.mu.Lock()
+			l.stalls = append(l.stalls, now)
+			l.mu.Unlock()
+		}
+		last = now
+	}
+}
+
+// stalled reports whether the machine stood still at or shortly before a request.
+func (l *ledger) stalled(s *sent) bool {
+	for _, end := range l.stalls {
+		if end.After(s.at.Add(-calmTime)) && end.Before(s.ended.Add(calmTime)) {
+			return true
+		}
+	}
+	return false
+}
+
 // judge returns all broken promises. Planned says that nothing but planned work
 // happened, under which no request may be cut.
 func (l *ledger) judge(planned bool) []string {
@@ -134,7 +172,7 @@
 	if ok && len(runs) > 0 && s.at.After(ack.Add(revokeBound)) {
 		faults = append(faults, fmt.Sprintf("ran %v after its key was withdrawn", s.at.Sub(ack)))
 	}
-	if !planned {
+	if !planned || l.stalled(s) {
 		return faults
 	}
 	for _, r := range runs {
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -69,3 +69,21 @@
 		is.Equal(len(l.judge(true)) > 0, lost)
 	}
 }
+
+// Time bounds are not judged beside a stall of the machine; what must always hold is.
+func TestLedgerBesideAStall(t *testing.T) {
+	is := is.New(t)
+	const id = "0123456789abcdef"
+	l := newLedger()
+	s := &sent{id: id, path: "/order/1", key: "k1", route: routes["order"], at: time.Now()}
+	l.send(s)
+	l.run("t1", "order", id, "/order/1", "school")
+	l.end(s, 0)
+	is.Equal(len(l.judge(true)), 1) // it was cut
+	l.stalls = append(l.stalls, time.Now().Add(-time.Second))
+	is.Equal(len(l.judge(true)), 0)
+	l.run("t2", "order", id, "/order/1", "school")
+	is.Equal(len(l.judge(true)), 1) // it ran twice
+	l.stalls[0] = s.at.Add(-calmTime)
+	is.Equal(len(l.judge(true)), 2)
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -117,6 +117,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
+	callers.Go(func() { s.ledger.watchStalls(ctx) })
 	for i := range callerCount {
 		c := &caller{
 			ledger: s.ledger, random: rand.New(rand.NewPCG(s.cfg.Seed, uint64(i)+2)),
@@ -136,6 +137,13 @@
 	return s.ledger.judge(s.cfg.Planned), nil
 }
 
+// Stalls returns how often the machine stood still in the run.
+func (s *Soak) Stalls() int {
+	s.ledger.mu.Lock()
+	defer s.ledger.mu.Unlock()
+	return len(s.ledger.stalls)
+}
+
 // Requests returns how many requests were served, and all.
 func (s *Soak) Requests() (served, all int) { return s.ledger.served(time.Time{}) }
 
