--- a/internal/loadsim/loadsim_test.go
+++ b/internal/loadsim/loadsim_test.go
@@ -53,7 +53,7 @@
 // Waves alone move no more than a part of a region's requests to other regions from
 // one window to the next, at any load.
 func TestRandomisedWavesShiftSlowly(t *testing.T) {
-	const maxShift = 0.15 // the operators' bound
+	const shiftBound = 0.15 // the operators' bound
 	const warming = 6 * time.Second
 	// busy multiplies rates alone: with few requests in a window their chance spread
 	// would count as a shift.
@@ -65,7 +65,7 @@
 				large.Slots *= busy
 				shift := play(t, large, loadsim.Siblings, busy*load).Timeline.Shift(warming)
 				t.Logf("largest shift %.3f", shift)
-				is.New(t).True(shift <= maxShift)
+				is.New(t).True(shift <= shiftBound)
 			})
 		}
 	}
