--- a/pkg/placer/learn.go
+++ b/pkg/placer/learn.go
@@ -16,6 +16,10 @@
 	Shed bool
 	// Replaced says that another target has the address.
 	Replaced bool
+	// Leaving says that the target takes no new work until it has started again.
+	Leaving bool
+	// Pause is how long the target wants nothing from this host.
+	Pause time.Duration
 	// Load is what the target reported, running and waiting; HasLoad says that
 	// it did.
 	Load    int
@@ -39,9 +43,13 @@
 	if o.ColdFor > 0 {
 		t.ColdUntil = now.Add(o.ColdFor)
 	}
+	if o.Leaving || o.Replaced {
+		t.left = true
+	}
+	if o.Pause > 0 {
+		t.pause(now.Add(min(o.Pause, longestPause)))
+	}
 	switch {
-	case o.Replaced:
-		t.Draining = true
 	case o.Unreachable:
 		t.eject(now)
 	case o.Shed:
--- a/pkg/placer/pick.go
+++ b/pkg/placer/pick.go
@@ -136,7 +136,7 @@
 // usable reports whether t may get the request. The caller holds the lock.
 func (p *Placer) usable(pl *pool, t *target, w Want, now time.Time) bool {
 	switch {
-	case t.Draining, now.Before(t.ejected), slices.Contains(w.Avoid, t.ID):
+	case t.Draining, t.left, now.Before(t.ejected), now.Before(t.paused), slices.Contains(w.Avoid, t.ID):
 		return false
 	case t.cold(now) && now.Sub(t.coldSentAt) < p.coldInterval(pl):
 		return false
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -39,6 +39,8 @@
 	mu      sync.Mutex
 	targets []*target
 	byShort map[uint32]*target
+	// former holds the targets whose registrations ended lately.
+	former map[ids.Target]*target
 	times   map[string]*times
 	// work is the mean time that a request takes at a target.
 	work time.Duration
@@ -113,23 +115,44 @@
 func (pl *pool) set(all []registrar.Target, regions map[ids.Zone]ids.Region) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	known := make(map[ids.Target]*target, len(pl.targets))
-	for _, t := range pl.targets {
-		known[t.ID] = t
-	}
+	now := time.Now()
+	known := pl.remember(now)
 	pl.targets = make([]*target, 0, len(all))
 	pl.byShort = make(map[uint32]*target, len(all))
 	for _, info := range all {
 		t := known[info.ID]
-		if t == nil || t.Born != info.Born || t.Address != info.Address {
+		if t == nil || !t.same(info) {
 			t = newTarget()
 		}
+		delete(known, info.ID)
 		t.Target = info
 		t.short = shorten(string(info.ID))
 		t.region = regions[info.Zone]
 		pl.targets = append(pl.targets, t)
 		pl.byShort[t.short] = t
 	}
+	pl.former = known
+	for _, t := range known {
+		if t.goneAt.IsZero() {
+			t.goneAt = now
+		}
+	}
+}
+
+// remember returns the targets that are registered, or were lately. The caller holds
+// the lock.
+func (pl *pool) remember(now time.Time) map[ids.Target]*target {
+	known := make(map[ids.Target]*target, len(pl.targets)+len(pl.former))
+	for id, t := range pl.former {
+		if now.Sub(t.goneAt) < formerLife {
+			known[id] = t
+		}
+	}
+	for _, t := range pl.targets {
+		t.goneAt = time.Time{}
+		known[t.ID] = t
+	}
+	return known
 }
 
 // seconds converts seconds into a duration.
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -405,3 +405,51 @@
 		})
 	}
 }
+
+// A target that tells that it leaves gets nothing more, also after its registration
+// changed or lapsed for a while; one that has started again does.
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, all := newPlacer(1, "e1")
+		c := pick(t, p, want("a"))
+		c.Done(placer.Outcome{Answered: true, Leaving: true})
+		none := func() {
+			t.Helper()
+			_, err := p.Pick(want("a"))
+			var gone *placer.ErrNoTarget
+			is.True(errors.As(err, &gone))
+		}
+		none()
+		all[0].Slots++
+		p.SetTargets(all)
+		none()
+		p.SetTargets(nil)
+		time.Sleep(time.Minute)
+		p.SetTargets(all)
+		none()
+		all[0].Born++
+		p.SetTargets(all)
+		pick(t, p, want("a"))
+	})
+}
+
+// A target that turned a request away for a time gets nothing for that time, though
+// its registration lapses meanwhile.
+func TestPausedTargetGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, all := newPlacer(1, "e1")
+		c := pick(t, p, want("a"))
+		c.Done(placer.Outcome{Shed: true, Pause: 3 * time.Second})
+		for range 29 {
+			time.Sleep(100 * time.Millisecond)
+			_, err := p.Pick(want("a"))
+			is.True(err != nil)
+			p.SetTargets(nil)
+			p.SetTargets(all)
+		}
+		time.Sleep(200 * time.Millisecond)
+		pick(t, p, want("a"))
+	})
+}
--- a/pkg/placer/target.go
+++ b/pkg/placer/target.go
@@ -16,6 +16,11 @@
 	// nothing; each failure in a row doubles it.
 	firstEjection   = 500 * time.Millisecond
 	longestEjection = 4 * time.Second
+	// longestPause bounds the time for which a target may ask for nothing.
+	longestPause = 5 * time.Minute
+	// formerLife is how long a target that is no longer registered is remembered,
+	// so that it has not forgotten anything if its registration only lapsed.
+	formerLife = 10 * time.Minute
 	// gain is the weight of a new measurement in a moving average.
 	gain = 0.2
 )
@@ -44,6 +49,12 @@
 	ejected    time.Time
 	ejections  int
 	coldSentAt time.Time
+	// left says that the target told this host that it is leaving.
+	left bool
+	// paused is the end of the time for which the target wants nothing.
+	paused time.Time
+	// goneAt is when its registration ended.
+	goneAt time.Time
 }
 
 // peerLoad is what another host had at a target.
@@ -90,6 +101,18 @@
 	t.ejected = now.Add(d)
 }
 
+// pause sends nothing to the target until end, or until the end of a longer pause.
+func (t *target) pause(end time.Time) {
+	if t.paused.Before(end) {
+		t.paused = end
+	}
+}
+
+// same reports whether a registration is of this run of the target.
+func (t *target) same(info registrar.Target) bool {
+	return t.Born == info.Born && t.Address == info.Address
+}
+
 // times holds how long the work of one class of requests takes, and how long its
 // answers are.
 type times struct {
--- a/service/gateway/ports.go
+++ b/service/gateway/ports.go
@@ -53,6 +53,10 @@
 	HasLoad bool
 	// ColdFor is how long the target stays cold.
 	ColdFor time.Duration
+	// Leaving says that the target takes no new work.
+	Leaving bool
+	// Pause is how long the target wants nothing from this host.
+	Pause time.Duration
 }
 
 // Headers reads and writes the header fields of requests and answers.
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -159,7 +159,9 @@
 	}
 	v := q.h.cfg.Headers.ReadAnswer(resp.StatusCode, resp.Header, q.call.ID)
 	res := &result{resp: resp}
-	res.outcome = placer.Outcome{Load: v.Load, HasLoad: v.HasLoad, ColdFor: v.ColdFor}
+	res.outcome = placer.Outcome{
+		Load: v.Load, HasLoad: v.HasLoad, ColdFor: v.ColdFor, Leaving: v.Leaving, Pause: v.Pause,
+	}
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	switch {
 	case v.Foreign, success && (!v.Stamped || !v.Identified), resp.Header.Get("Content-Encoding") != "",
@@ -210,7 +212,7 @@
 	case err != nil:
 		res.usable = false
 		res.word = "brokenOff"
-		res.outcome = placer.Outcome{Failed: true}
+		res.outcome = placer.Outcome{Failed: true, Leaving: res.outcome.Leaving, Pause: res.outcome.Pause}
 	case len(body) > wholeBytes:
 		res.stream = true
 	}
--- a/service/targets/sender.go
+++ b/service/targets/sender.go
@@ -146,8 +146,9 @@
 	}
 }
 
-// maxHeaderBytes bounds the header of an answer.
-const maxHeaderBytes = 1 << 20
+// maxHeaderBytes bounds the head of an answer: a target in trouble may send one
+// without end.
+const maxHeaderBytes = 64 << 10
 
 func (s *Sender) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.ConnectTimeout)
