pkg/placer: a choice costs the same however many hosts there are

Cause: for each choice a map of peers was walked for each target, and a list of up to 256 objects was searched at each target.

Change: what hosts tell is summed by target when it comes or lapses, by scope (one host, or later a zone); an index leads from an object to the targets that served it.

--- a/internal/loadsim/loadsim.go
+++ b/internal/loadsim/loadsim.go
@@ -404,7 +404,7 @@
 		starts, from.told = from.placer.Starts(from.told, all)
 		for _, to := range r.hosts {
 			if to != from {
-				to.placer.Absorb(from.name, running, starts)
+				to.placer.Absorb(ids.Scope(from.name), running, starts)
 			}
 		}
 	}
--- a/pkg/ids/ids.go
+++ b/pkg/ids/ids.go
@@ -25,6 +25,9 @@
 	Preset string
 	// Instance names one run of an entry host process. A restart makes a new one.
 	Instance string
+	// Scope names one or several entry hosts that are told of together: a host by
+	// its instance, or all hosts of an availability zone.
+	Scope string
 	// Seat is the number of a seat, from 0 to the number of seats minus one.
 	Seat int
 	// Revision counts accepted versions of the configuration. Zero means none.
--- a/pkg/placer/pick.go
+++ b/pkg/placer/pick.go
@@ -74,9 +74,11 @@
 		return nil, &ErrNoTarget{}
 	}
 	now := time.Now()
+	p.lapse(now)
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	tm := pl.timesOf(w)
+	pl.rank(w.Object)
 	var s search
 	for _, t := range pl.targets {
 		if !evacuated[t.Zone] && p.usable(pl, t, w, now) {
@@ -97,6 +99,17 @@
 	return &s.best, nil
 }
 
+// lapse lets go of what silent hosts told.
+func (p *Placer) lapse(now time.Time) {
+	lapsed := p.told.expire(now)
+	if len(lapsed) == 0 {
+		return
+	}
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	p.applyChanges(lapsed)
+}
+
 // restricted reports whether only some regions' targets may get the request.
 func (w *Want) restricted() bool {
 	return slices.ContainsFunc(w.Homes, func(homes []ids.Region) bool { return len(homes) > 0 })
@@ -172,6 +185,6 @@
 		t.coldSentAt = now
 	}
 	if c.want.Object != NoObject {
-		t.warm.touch(c.want.Object, mostKept)
+		pl.touch(t, c.want.Object)
 	}
 }
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -41,6 +41,11 @@
 	byShort map[uint32]*target
 	// former holds the targets whose registrations ended lately.
 	former map[ids.Target]*target
+	// holders holds the targets that served each object lately.
+	holders map[Object][]*target
+	// choices counts the choices made.
+	choices uint64
+	told    *toldLog
 	times   map[string]*times
 	// work is the mean time that a request takes at a target.
 	work time.Duration
@@ -87,7 +92,7 @@
 func (p *Placer) pool(name ids.Service) *pool {
 	pl := p.services[name]
 	if pl == nil {
-		pl = &pool{times: make(map[string]*times), kept: firstKept}
+		pl = &pool{times: make(map[string]*times), holders: make(map[Object][]*target), kept: firstKept, told: &p.told}
 		p.services[name] = pl
 	}
 	return pl
@@ -121,12 +126,17 @@
 	pl.byShort = make(map[uint32]*target, len(all))
 	for _, info := range all {
 		t := known[info.ID]
-		if t == nil || !t.same(info) {
+		if t != nil && !t.same(info) {
+			pl.forget(t)
+			t = nil
+		}
+		if t == nil {
 			t = newTarget()
 		}
 		delete(known, info.ID)
 		t.Target = info
-		t.short = shorten(string(info.ID))
+		t.short = NameTarget(info.ID)
+		t.told = pl.told.total(t.short)
 		t.region = regions[info.Zone]
 		pl.targets = append(pl.targets, t)
 		pl.byShort[t.short] = t
@@ -146,6 +156,8 @@
 	for id, t := range pl.former {
 		if now.Sub(t.goneAt) < formerLife {
 			known[id] = t
+		} else {
+			pl.forget(t)
 		}
 	}
 	for _, t := range pl.targets {
--- a/pkg/placer/share.go
+++ b/pkg/placer/share.go
@@ -75,24 +75,28 @@
 	return all
 }
 
-// Absorb takes what another host told of its requests.
-func (p *Placer) Absorb(peer ids.Instance, running []Running, starts []Start) {
+// Absorb takes what was told of the requests of other hosts. The counts replace
+// those that were told of the same scope before.
+func (p *Placer) Absorb(scope ids.Scope, running []Running, starts []Start) {
 	now := time.Now()
 	p.mu.RLock()
 	defer p.mu.RUnlock()
-	for _, short := range p.told.replace(peer, running) {
-		p.update(short, func(t *target) { delete(t.peers, peer) })
-	}
-	for _, r := range running {
-		p.update(r.Target, func(t *target) { t.peers[peer] = peerLoad{r.Count, now} })
-	}
+	p.applyChanges(p.told.replace(scope, running, now))
+	p.applyChanges(p.told.expire(now))
 	for _, s := range starts {
-		p.update(s.Target, func(t *target) { t.warm.touch(s.Object, mostKept) })
+		p.update(s.Target, func(pl *pool, t *target) { pl.touch(t, s.Object) })
+	}
+}
+
+// applyChanges takes over the new counts of targets. The caller holds p.mu.
+func (p *Placer) applyChanges(totals map[uint32]int) {
+	for short, total := range totals {
+		p.update(short, func(_ *pool, t *target) { t.told = total })
 	}
 }
 
 // update changes one target, if it is known. The caller holds p.mu.
-func (p *Placer) update(short uint32, change func(*target)) {
+func (p *Placer) update(short uint32, change func(*pool, *target)) {
 	pl := p.byShort[short]
 	if pl == nil {
 		return
@@ -100,48 +104,6 @@
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	if t := pl.byShort[short]; t != nil {
-		change(t)
-	}
-}
-
-// toldLog holds the targets at which each other host told of requests.
-type toldLog struct {
-	mu    sync.Mutex
-	peers map[ids.Instance]toldTargets
-}
-
-type toldTargets struct {
-	targets []uint32
-	at      time.Time
-}
-
-// replace keeps what a host tells, and returns the targets that it no longer
-// names. Hosts that say nothing any more are forgotten: their requests end by
-// peerLife.
-func (l *toldLog) replace(peer ids.Instance, running []Running) []uint32 {
-	now := time.Now()
-	named := make(map[uint32]bool, len(running))
-	next := toldTargets{at: now}
-	for _, r := range running {
-		named[r.Target] = true
-		next.targets = append(next.targets, r.Target)
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.peers == nil {
-		l.peers = make(map[ids.Instance]toldTargets)
-	}
-	var gone []uint32
-	for _, short := range l.peers[peer].targets {
-		if !named[short] {
-			gone = append(gone, short)
-		}
-	}
-	l.peers[peer] = next
-	for other, t := range l.peers {
-		if now.Sub(t.at) > peerLife {
-			delete(l.peers, other)
-		}
+		change(pl, t)
 	}
-	return gone
 }
--- a/pkg/placer/target.go
+++ b/pkg/placer/target.go
@@ -38,10 +38,13 @@
 	load   int
 	ownAt  int
 	loadAt time.Time
-	// peers holds the requests of other hosts.
-	peers map[ids.Instance]peerLoad
+	// told is the sum of the other hosts' requests, as they told.
+	told int
 
 	warm recency
+	// rank is the rank of the object that the choice rankedIn was made for.
+	rank     int
+	rankedIn uint64
 	// slowness is how much longer than expected work takes; 1 is as expected.
 	slowness float64
 	// failures is the share of answers that were failures.
@@ -57,27 +60,14 @@
 	goneAt time.Time
 }
 
-// peerLoad is what another host had at a target.
-type peerLoad struct {
-	running int
-	at      time.Time
-}
-
 func newTarget() *target {
-	return &target{slowness: 1, peers: make(map[ids.Instance]peerLoad)}
+	return &target{slowness: 1}
 }
 
 // backlog estimates the requests that the target holds: what the hosts tell of
 // theirs, or what the target told of all.
 func (t *target) backlog(now time.Time) float64 {
-	told := float64(t.inFlight)
-	for peer, p := range t.peers {
-		if now.Sub(p.at) < peerLife {
-			told += float64(p.running)
-		} else {
-			delete(t.peers, peer) // The host fell silent.
-		}
-	}
+	told := float64(t.inFlight + t.told)
 	age := now.Sub(t.loadAt)
 	if t.loadAt.IsZero() || age > loadLife {
 		return told
--- a/pkg/placer/warm.go
+++ b/pkg/placer/warm.go
@@ -1,6 +1,10 @@
 package placer
 
-import "hash/fnv"
+import (
+	"hash/fnv"
+
+	"gypsumbeam.example/gypsumbeam/pkg/ids"
+)
 
 // Object is the short name of what a request is about: hosts tell each other
 // which objects a target served.
@@ -21,6 +25,9 @@
 	return n
 }
 
+// NameTarget returns the short name of a target.
+func NameTarget(id ids.Target) uint32 { return shorten(string(id)) }
+
 // shorten returns a hash of a name.
 func shorten(name string) uint32 {
 	h := fnv.New32a()
@@ -56,18 +63,22 @@
 	return -1
 }
 
-// touch makes o the most recent object and forgets those over the bound.
-func (r *recency) touch(o Object, bound int) {
+// touch makes o the most recent object. It reports whether o is new, and which
+// object was forgotten as the last one over the bound, or NoObject.
+func (r *recency) touch(o Object, bound int) (isNew bool, evicted Object) {
 	i := r.rank(o)
 	if i < 0 {
+		isNew = true
 		r.order = append(r.order, o)
 		i = len(r.order) - 1
 	}
 	copy(r.order[1:i+1], r.order[:i])
 	r.order[0] = o
 	if len(r.order) > bound {
+		evicted = r.order[bound]
 		r.order = r.order[:bound]
 	}
+	return isNew, evicted
 }
 
 // spread returns a number in [0, 1) by which objects are spread over targets,
--- a/service/siblings/siblings.go
+++ b/service/siblings/siblings.go
@@ -324,7 +324,7 @@
 	for _, u := range m.Usages {
 		usages = append(usages, allotter.Usage{Workspace: allotter.Name(u.Workspace), Admitted: u.Admitted, Demand: float64(u.Demand)})
 	}
-	g.cfg.Placer.Absorb(m.From, run, starts)
+	g.cfg.Placer.Absorb(ids.Scope(m.From), run, starts)
 	g.cfg.Allotter.Absorb(m.From, usages)
 	g.cfg.Allotter.SetLag(g.lag())
 }
