service/siblings, pkg/delegator, pkg/summarizer: a host of each zone speaks for it

Cause: each host told every other one.

Ruled out: sending less often (knowledge ages), an agreed leader (nothing has to be agreed: two speakers add up to no more than there is).

Change: in fleets of more than 16 hosts, the hosts of a zone tell the first two of it by a rank that all compute; the first that is heard tells the sum to the other zones, and all sums to its own. A host takes its own part out of its zone's sum by the report that the sum answers. Proofs of the configuration go on with their age over each hop. Fleets of 16 and less talk as before. Also: a workspace first mentioned by a host after a while counted with all that the host had ever admitted (TestHistoryOfAnIdleWorkspaceDoesNotCount failed before); the list of hosts is sorted when it changes, not for each request.

--- a/pkg/allotter/allotter.go
+++ b/pkg/allotter/allotter.go
@@ -6,10 +6,10 @@
 package allotter
 
 import (
-	"hash/fnv"
 	"sync"
 	"time"
 
+	"gypsumbeam.example/gypsumbeam/pkg/hasher"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
 	"gypsumbeam.example/gypsumbeam/pkg/router"
 )
@@ -23,6 +23,9 @@
 	// missedMessages is how many messages must be missing until a host no longer
 	// counts as heard of.
 	missedMessages = 3
+	// cutOffLags is how many lags without any message say that this host is cut off,
+	// unless SetLag tells another time.
+	cutOffLags = 1.25
 	// leastDemand, in requests a second, is what is worth telling.
 	leastDemand = 0.1
 	// demandTime is the time over which demand is averaged.
@@ -38,9 +41,7 @@
 
 // NameOf returns the short name of a workspace.
 func NameOf(w ids.Workspace) Name {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(w)) // It never fails.
-	return Name(h.Sum32())
+	return Name(hasher.Short(string(w)))
 }
 
 // Usage is what one host tells of a workspace.
@@ -60,11 +61,31 @@
 	Members func() int
 
 	mu sync.Mutex
-	// lag is how old what hosts tell each other may be.
-	lag     time.Duration
-	buckets map[Name]*bucket
-	// heard holds when each other host was last heard of.
-	heard map[ids.Instance]time.Time
+	// lag is how old what hosts tell each other may be, and patience the time
+	// without any message after which this host is cut off.
+	lag, patience time.Duration
+	buckets       map[Name]*bucket
+	heard         map[ids.Scope]heard
+}
+
+// Word is what was told of the use of one scope.
+type Word struct {
+	Scope ids.Scope
+	// Source is the host that told it. The counts of two sources have nothing to do
+	// with each other.
+	Source ids.Instance
+	// Hosts is how many other hosts the scope has.
+	Hosts int
+	// Usages counts from a beginning of the source's own. Differences count, also
+	// where they pass 0.
+	Usages []Usage
+}
+
+// heard is when a scope was last heard of.
+type heard struct {
+	source ids.Instance
+	hosts  int
+	at     time.Time
 }
 
 // bucket is the level of a workspace's whole limit, as this host knows it.
@@ -76,7 +97,7 @@
 	demand   demand
 	// allowance is what this host may take while tokens are scarce.
 	allowance float64
-	peers     map[ids.Instance]*Usage
+	peers     map[ids.Scope]*Usage
 	// returnAt is when the last refused caller was told to come back.
 	returnAt time.Time
 	told     uint64
@@ -101,11 +122,18 @@
 	d.at = now
 }
 
-// SetLag says how old what hosts tell each other may be.
-func (a *Allotter) SetLag(d time.Duration) {
+// SetLag says how old what hosts tell each other may be, and for how long a host may
+// hear nothing until it is cut off; 0 means a little more than the lag.
+func (a *Allotter) SetLag(lag, patience time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.lag = d
+	a.lag, a.patience = lag, patience
+}
+
+// cutOffAfter returns the time without any message after which this host is cut off.
+// The caller holds the lock.
+func (a *Allotter) cutOffAfter() time.Duration {
+	return max(a.patience, time.Duration(cutOffLags*float64(a.told())))
 }
 
 // told returns the lag. The caller holds the lock.
@@ -132,12 +160,12 @@
 	}
 	hears := 1
 	cutOff := true
-	for _, at := range a.heard {
-		age := now.Sub(at)
+	for _, h := range a.heard {
+		age := now.Sub(h.at)
 		if age < missedMessages*a.told() {
-			hears++
+			hears += h.hosts
 		}
-		cutOff = cutOff && age > a.told()*5/4
+		cutOff = cutOff && age > a.cutOffAfter()
 	}
 	if cutOff {
 		hears = 1 // Nobody at all: it is this host that is cut off.
@@ -154,7 +182,7 @@
 			a.buckets = make(map[Name]*bucket)
 		}
 		// A host that has just started does not know what was used before.
-		b = &bucket{at: now, peers: make(map[ids.Instance]*Usage)}
+		b = &bucket{at: now, peers: make(map[ids.Scope]*Usage)}
 		a.buckets[name] = b
 	}
 	dt := now.Sub(b.at).Seconds()
@@ -246,43 +274,59 @@
 	return all
 }
 
-// Absorb takes what another host told of its use.
-func (a *Allotter) Absorb(peer ids.Instance, usages []Usage) {
+// Absorb takes what was told of the use of other hosts.
+func (a *Allotter) Absorb(w Word) {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.heard == nil {
-		a.heard = make(map[ids.Instance]time.Time)
+		a.heard = make(map[ids.Scope]heard)
 	}
-	_, known := a.heard[peer]
-	a.heard[peer] = now
-	for _, u := range usages {
-		b := a.buckets[u.Workspace]
-		if b == nil {
-			continue
-		}
-		last := b.peers[peer]
-		switch {
-		case last != nil && u.Admitted > last.Admitted:
-			b.tokens -= float64(u.Admitted - last.Admitted)
-		case last == nil && known:
-			b.tokens -= float64(u.Admitted)
+	last, known := a.heard[w.Scope]
+	if known && last.source != w.Source {
+		a.restart(w.Scope)
+		known = false
+	}
+	a.heard[w.Scope] = heard{w.Source, w.Hosts, now}
+	for _, u := range w.Usages {
+		if b := a.buckets[u.Workspace]; b != nil {
+			b.absorb(w.Scope, u, known)
 		}
-		b.peers[peer] = &Usage{u.Workspace, u.Admitted, u.Demand}
 	}
 	a.forget(now)
 }
 
-// forget drops the hosts that have not been heard of for long.
+// absorb takes out what a scope admitted since it was last told of. Of a scope that
+// has been heard for some time without a word of this workspace, only what its demand
+// explains is recent.
+func (b *bucket) absorb(scope ids.Scope, u Usage, known bool) {
+	last := b.peers[scope]
+	switch {
+	case last != nil:
+		if more := int64(u.Admitted - last.Admitted); more > 0 {
+			b.tokens -= float64(more)
+		}
+	case known:
+		b.tokens -= min(float64(max(int64(u.Admitted), 0)), u.Demand+1)
+	}
+	b.peers[scope] = &u
+}
+
+// restart forgets the counts of a scope, of which another host tells now.
+func (a *Allotter) restart(scope ids.Scope) {
+	for _, b := range a.buckets {
+		delete(b.peers, scope)
+	}
+}
+
+// forget drops the scopes that have not been heard of for long.
 func (a *Allotter) forget(now time.Time) {
 	const forgetTime = 12 * time.Second
-	for peer, at := range a.heard {
-		if now.Sub(at) < forgetTime {
+	for scope, h := range a.heard {
+		if now.Sub(h.at) < forgetTime {
 			continue
 		}
-		delete(a.heard, peer)
-		for _, b := range a.buckets {
-			delete(b.peers, peer)
-		}
+		delete(a.heard, scope)
+		a.restart(scope)
 	}
 }
--- a/pkg/allotter/allotter_test.go
+++ b/pkg/allotter/allotter_test.go
@@ -43,7 +43,7 @@
 	}
 	for range n {
 		f.hosts = append(f.hosts, &allotter.Allotter{Members: func() int { return n }})
-		f.hosts[len(f.hosts)-1].SetLag(f.tellEvery)
+		f.hosts[len(f.hosts)-1].SetLag(f.tellEvery, 0)
 	}
 	return f
 }
@@ -60,7 +60,7 @@
 		usages := from.Usages()
 		for j, to := range f.hosts {
 			if i != j && !f.cut[i] && !f.cut[j] {
-				to.Absorb(ids.Instance(fmt.Sprint(i)), usages)
+				to.Absorb(allotter.Word{Scope: ids.Scope(fmt.Sprint(i)), Hosts: 1, Usages: usages})
 			}
 		}
 	}
@@ -235,3 +235,46 @@
 		})
 	}
 }
+
+// A host that starts among others must not take what they admitted of an idle workspace
+// long ago for recent use.
+func TestHistoryOfAnIdleWorkspaceDoesNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &router.Workspace{Name: "w", Rate: 10, Burst: 20}
+		a := &allotter.Allotter{Members: func() int { return 2 }}
+		a.Ready(w)
+		tell := func(usages ...allotter.Usage) {
+			a.Absorb(allotter.Word{Scope: "other", Source: "other", Hosts: 1, Usages: usages})
+		}
+		for range 30 { // The bucket fills.
+			tell()
+			time.Sleep(100 * time.Millisecond)
+		}
+		tell(allotter.Usage{Workspace: allotter.NameOf("w"), Admitted: 5000, Demand: 1})
+		_, ok := a.Admit(w)
+		is.True(ok)
+	})
+}
+
+// Where another host takes over telling of a zone, its counts begin anew.
+func TestCountsOfAnotherSourceBeginAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &router.Workspace{Name: "w", Rate: 10, Burst: 20}
+		a := &allotter.Allotter{Members: func() int { return 3 }}
+		a.Ready(w)
+		for i, source := range []ids.Instance{"a", "a", "a", "a", "a", "b", "b", "a", "b"} {
+			time.Sleep(300 * time.Millisecond)
+			admitted := uint64(10)
+			if source == "b" {
+				admitted = 100_000
+			}
+			a.Absorb(allotter.Word{Scope: "zone", Source: source, Hosts: 2, Usages: []allotter.Usage{
+				{Workspace: allotter.NameOf("w"), Admitted: admitted + uint64(i)},
+			}})
+		}
+		_, ok := a.Admit(w)
+		is.True(ok)
+	})
+}
--- a/pkg/gatewaysettings/gatewaysettings.go
+++ b/pkg/gatewaysettings/gatewaysettings.go
@@ -24,6 +24,8 @@
 	// Metrics is the address at which the host serves its metrics; empty means
 	// that it does not.
 	Metrics string `json:"metrics,omitempty"`
+	// Machine tells what the host has, by which hosts of a zone are ranked.
+	Machine Machine `json:"machine"`
 	Bounds  Bounds `json:"bounds"`
 }
 
@@ -35,6 +37,17 @@
 	Siblings  string `json:"siblings"`
 }
 
+// Machine is what the host may use. Zero means that it is not known.
+type Machine struct {
+	// Cores is the share of processor cores.
+	Cores float64 `json:"cores"`
+	// LinkMbps is the bandwidth of its link in Mbit/s.
+	LinkMbps float64 `json:"linkMbps"`
+}
+
+// Capacity ranks hosts by what they can do for others.
+func (m Machine) Capacity() float64 { return m.Cores * m.LinkMbps }
+
 // Zone is an availability zone.
 type Zone struct {
 	Zone   ids.Zone   `json:"zone"`
@@ -93,6 +106,14 @@
 			d.Fault(a.path, fmt.Sprintf("%q is no IP number and port such as \"10.1.2.3:8080\"", a.address))
 		}
 	}
+	for _, m := range []struct {
+		path  string
+		value float64
+	}{{"machine.cores", s.Machine.Cores}, {"machine.linkMbps", s.Machine.LinkMbps}} {
+		if m.value < 0 {
+			d.Fault(m.path, fmt.Sprintf("%v is less than nothing", m.value))
+		}
+	}
 	for _, t := range []struct{ path, text string }{
 		{"bounds.revoke", s.Bounds.Revoke},
 		{"bounds.grace", s.Bounds.Grace},
--- a/pkg/lister/lister.go
+++ b/pkg/lister/lister.go
@@ -23,6 +23,8 @@
 	Siblings string     `json:"siblings"`
 	Zone     ids.Zone   `json:"zone"`
 	Region   ids.Region `json:"region"`
+	// Capacity orders hosts by what they can do for others; 0 if it is not known.
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 // Lister holds the hosts. The zero value is empty, and its methods may be
@@ -38,6 +40,9 @@
 	// silent holds the hosts that no longer answer their siblings, or are not
 	// ready.
 	silent map[string]bool
+	// sorted holds the hosts that are known, in order of their addresses. It is
+	// replaced, not changed.
+	sorted []Host
 }
 
 // SetHosts replaces the hosts by those that are registered. Hosts that were known
@@ -58,13 +63,18 @@
 		}
 	}
 	l.hosts, l.kept = hosts, kept
+	l.sort()
 }
 
 // SetSelf says who this host is, and whether it takes callers.
 func (l *Lister) SetSelf(self Host, ready bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.self == self && l.ready == ready {
+		return
+	}
 	l.self, l.ready = self, ready
+	l.sort()
 }
 
 // SetSilent replaces the hosts that no longer answer, or are not ready, by their
@@ -77,15 +87,28 @@
 		if silent[address] {
 			delete(l.kept, address)
 			delete(l.hosts, address)
+			l.sort()
 		}
 	}
 }
 
 // Hosts returns all hosts that are known, in order of their addresses. This host
-// is among them while it is ready.
+// is among them while it is ready. The result must not be changed.
 func (l *Lister) Hosts() []Host {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
+	return l.sorted
+}
+
+// Count returns how many hosts are known.
+func (l *Lister) Count() int {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return len(l.sorted)
+}
+
+// sort brings the hosts in order. The caller holds the lock.
+func (l *Lister) sort() {
 	all := make([]Host, 0, len(l.hosts)+1)
 	for _, h := range l.hosts {
 		all = append(all, h)
@@ -94,7 +117,7 @@
 		all = append(all, l.self)
 	}
 	slices.SortFunc(all, func(a, b Host) int { return cmp.Compare(a.Callers, b.Callers) })
-	return all
+	l.sorted = all
 }
 
 // Addresses returns where callers of a zone and region connect: to hosts of the
--- a/pkg/placer/warm.go
+++ b/pkg/placer/warm.go
@@ -1,8 +1,7 @@
 package placer
 
 import (
-	"hash/fnv"
-
+	"gypsumbeam.example/gypsumbeam/pkg/hasher"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
 )
 
@@ -18,7 +17,7 @@
 	if object == "" {
 		return NoObject
 	}
-	n := Object(shorten(class + "/" + object))
+	n := Object(hasher.Short(class + "/" + object))
 	if n == NoObject {
 		return 1
 	}
@@ -26,14 +25,7 @@
 }
 
 // NameTarget returns the short name of a target.
-func NameTarget(id ids.Target) uint32 { return shorten(string(id)) }
-
-// shorten returns a hash of a name.
-func shorten(name string) uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(name)) // It never fails.
-	return h.Sum32()
-}
+func NameTarget(id ids.Target) uint32 { return hasher.Short(string(id)) }
 
 const (
 	// firstKept is how many objects a target is assumed to keep warm until
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -103,7 +103,7 @@
 	h.limits.Store(&cfg.Bounds)
 	h.placer = placer.New(placer.Config{Zone: cfg.Self.Zone, Regions: cfg.Regions, ColdShare: h.share})
 	h.registrar.Changed = h.placer.SetTargets
-	h.allotter.Members = func() int { return len(h.lister.Hosts()) }
+	h.allotter.Members = h.lister.Count
 	h.budget.Saved = func() float64 { return savedRetries * h.share() }
 	h.sender = targets.New(targets.Config{
 		ConnectTimeout: targetConnect, IdleTimeout: targetIdle, Connections: targetConnections, Untimed: true,
@@ -118,10 +118,20 @@
 		Self: cfg.Self, Conn: cfg.Conn, Hosts: h.lister.Hosts, Ready: h.Ready, State: cfg.State,
 		Confirmer: cfg.Confirmer, Placer: h.placer, Allotter: &h.allotter, Log: logflags.Logger(logflags.Peers),
 	})
+	h.gauges()
 	h.server = pipeliner.New(pipeliner.Config{Handler: h.handler, Bounds: h.bounds})
 	return h
 }
 
+// gauges adds what hosts tell each other to the metrics.
+func (h *Host) gauges() {
+	t := h.gossiper.Traffic()
+	h.tally.Gauge("siblings.messages", t.Messages.Load)
+	h.tally.Gauge("siblings.bytes.zone", t.ZoneBytes.Load)
+	h.tally.Gauge("siblings.bytes.region", t.RegionBytes.Load)
+	h.tally.Gauge("siblings.bytes.far", t.FarBytes.Load)
+}
+
 // Router implements gateway.Routes.
 func (h *Host) Router() *router.Router { return h.router.Load() }
 
@@ -135,7 +145,7 @@
 }
 
 // share returns this host's part of what all hosts may do together.
-func (h *Host) share() float64 { return 1 / float64(max(len(h.lister.Hosts()), 1)) }
+func (h *Host) share() float64 { return 1 / float64(max(h.lister.Count(), 1)) }
 
 func (h *Host) bounds() pipeliner.Bounds {
 	r := h.router.Load()
--- a/service/siblings/siblings_test.go
+++ b/service/siblings/siblings_test.go
@@ -28,6 +28,10 @@
 	mu   sync.Mutex
 	ends map[string]*end
 	cut  map[string]bool
+	// deaf holds the hosts that get nothing, mute those from which nothing comes.
+	deaf, mute map[string]bool
+	// messages and bytes count what was sent.
+	messages, bytes int
 }
 
 // datagram is one message on its way.
@@ -50,7 +54,7 @@
 	defer w.mu.Unlock()
 	e := &end{
 		w: w, addr: net.UDPAddrFromAddrPort(netip.MustParseAddrPort(address)),
-		in: make(chan datagram, 100), closed: make(chan struct{}),
+		in: make(chan datagram, 10_000), closed: make(chan struct{}),
 	}
 	w.ends[address] = e
 	return e
@@ -67,9 +71,16 @@
 
 func (e *end) WriteTo(p []byte, to net.Addr) (int, error) {
 	text := append([]byte(nil), p...)
+	e.w.mu.Lock()
+	e.w.messages++
+	e.w.bytes += len(text)
+	e.w.mu.Unlock()
 	time.AfterFunc(e.w.delay, func() {
 		e.w.mu.Lock()
 		defer e.w.mu.Unlock()
+		if e.w.mute[e.addr.String()] || e.w.deaf[to.String()] {
+			return
+		}
 		if o := e.w.ends[to.String()]; o != nil && !e.w.cut[to.String()] && !e.w.cut[e.addr.String()] {
 			o.in <- datagram{e.addr, text}
 		}
@@ -98,6 +109,8 @@
 	version   atomic.Uint64
 	stop      chan struct{}
 	once      sync.Once
+	// paused is set while the host does nothing.
+	paused atomic.Bool
 }
 
 func (h *host) Version() uint64       { return h.version.Load() }
@@ -108,6 +121,7 @@
 type fleet struct {
 	wire  *wire
 	hosts map[string]*host
+	asked int
 	// outdated, where set, stands in the list for the host at its address.
 	outdated *lister.Host
 }
@@ -147,11 +161,16 @@
 
 // start starts a host, in place of the one that had its address.
 func (fl *fleet) start(address string, instance ids.Instance) *host {
+	return fl.startIn(lister.Host{Instance: instance, Callers: address, Siblings: address, Zone: "z", Region: "r"})
+}
+
+// startIn starts a host by what it tells of itself.
+func (fl *fleet) startIn(self lister.Host) *host {
 	h := &host{
-		self:      lister.Host{Instance: instance, Callers: address, Siblings: address, Zone: "z", Region: "r"},
-		conn:      fl.wire.open(address),
+		self:      self,
+		conn:      fl.wire.open(self.Siblings),
 		confirmed: &confirmer.Confirmer{},
-		placer:    placer.New(placer.Config{Zone: "z"}),
+		placer:    placer.New(placer.Config{Zone: self.Zone}),
 		allotter:  &allotter.Allotter{},
 		stop:      make(chan struct{}),
 	}
@@ -162,7 +181,7 @@
 		Confirmer: h.confirmed, Placer: h.placer, Allotter: h.allotter, Log: logflags.Logger(logflags.Peers),
 	})
 	fl.wire.mu.Lock()
-	fl.hosts[address] = h
+	fl.hosts[self.Siblings] = h
 	fl.wire.mu.Unlock()
 	go h.gossiper.Receive()
 	go h.run()
@@ -175,6 +194,9 @@
 	for {
 		select {
 		case <-t.C:
+			if h.paused.Load() {
+				continue
+			}
 			h.gossiper.Tick()
 		case <-h.stop:
 			return
