--- a/pkg/delegator/delegator.go
+++ b/pkg/delegator/delegator.go
@@ -90,7 +90,7 @@
 			delete(d.spoke, instance)
 		}
 	}
-	place := d.place(now)
+	place := d.place()
 	wait := time.Duration(0)
 	if place > 0 {
 		wait = takeover + time.Duration(place)*takeoverStep
@@ -133,7 +133,7 @@
 
 // place returns how many living hosts are before this one, and notes whether one of
 // them speaks.
-func (d *Delegator) place(now time.Time) int {
+func (d *Delegator) place() int {
 	place := 0
 	for _, h := range d.order[d.self.Zone] {
 		if h.Instance == d.self.Instance {
--- a/pkg/gatewaysettings/gatewaysettings.go
+++ b/pkg/gatewaysettings/gatewaysettings.go
@@ -26,7 +26,7 @@
 	Metrics string `json:"metrics,omitempty"`
 	// Machine tells what the host has, by which hosts of a zone are ranked.
 	Machine Machine `json:"machine"`
-	Bounds  Bounds `json:"bounds"`
+	Bounds  Bounds  `json:"bounds"`
 }
 
 // Addresses holds an address for each kind of peer, as IP number and port.
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -223,5 +223,9 @@
 // Rank returns the place of this host among those that are heard of.
 func (h *Host) Rank() int { return h.gossiper.Rank() }
 
+// Neighbour returns the host whose copy of the store this one is to follow, by its
+// address for siblings; false means that it is to read the store itself.
+func (h *Host) Neighbour() (string, bool) { return h.gossiper.Neighbour() }
+
 // Tally returns the host's metrics, which other parts may add to.
 func (h *Host) Tally() *tallier.Tallier { return &h.tally }
