pkg/placer: charges are parts of the latency that is aimed at

Cause: crossing, spreading and failures were charged in fixed milliseconds; the work of the large sites is four to ten times as long, so the same charge ordered targets differently. Change: charges are parts of the class's objective; at 400 ms they are as before.

--- a/pkg/placer/score.go
+++ b/pkg/placer/score.go
@@ -11,19 +11,22 @@
 	otherRegion = 26 * time.Millisecond
 )
 
-// Crossing a zone or region is charged to the expected finish, so that targets
-// nearby are preferred unless that costs the caller more.
+// Charges are added to the expected finish, in parts of the latency that is aimed at:
+// what a caller can bear, another one can bear in proportion to its work.
+//
+// Crossing a zone or region is charged so that targets nearby are preferred unless
+// that costs the caller more.
 const (
-	zoneCharge   = 30 * time.Millisecond
-	regionCharge = 20 * time.Millisecond
+	zoneCharge   = 0.075
+	regionCharge = 0.05
 	// zoneByteCharge and regionByteCharge are added for each KiB that crosses.
-	zoneByteCharge   = 12 * time.Millisecond
-	regionByteCharge = 5 * time.Millisecond
+	zoneByteCharge   = 0.03
+	regionByteCharge = 0.0125
 	// spreadCharge orders targets that are alike by the object's hash, so that
 	// all hosts send an object to the same ones.
-	spreadCharge = 60 * time.Millisecond
+	spreadCharge = 0.15
 	// failureCharge is added in proportion to a target's share of failures.
-	failureCharge = 2 * time.Second
+	failureCharge = 5.0
 )
 
 // pressureCharge is what slot time beyond that of warm work is charged when all
@@ -33,7 +36,7 @@
 // firstUseCredit is taken off for a target that nobody has used yet, so that it
 // begins to carry its part. Requests with bodies are left out: they cost more to
 // send far.
-const firstUseCredit = time.Second
+const firstUseCredit = 2.5
 
 // coldStartFactor is how much longer a target takes while it is cold.
 const coldStartFactor = 2
@@ -57,27 +60,27 @@
 	if ahead := c.Backlog + 1 - slots; ahead > 0 {
 		c.Wait = time.Duration(ahead / slots * float64(max(pl.work, tm.warm)))
 	}
-	var charge time.Duration
+	var charge float64
 	c.way, charge = p.distance(t, w.KiB+tm.kib)
-	total := c.Wait + c.Work + c.way + charge
-	total += time.Duration(pl.pressure * float64(c.Work-tm.warm) * pressureCharge)
-	total += time.Duration(t.failures * float64(failureCharge))
+	charge += t.failures * failureCharge
 	if w.KiB == 0 && t.unused(now) {
-		total -= firstUseCredit
+		charge -= firstUseCredit
 	}
-	total += time.Duration(spread(w.Object, t.short) * float64(spreadCharge))
+	charge += spread(w.Object, t.short) * spreadCharge
+	total := c.Wait + c.Work + c.way + time.Duration(charge*float64(w.Objective))
+	total += time.Duration(pl.pressure * float64(c.Work-tm.warm) * pressureCharge)
 	return c, total
 }
 
 // distance returns the time to the target and back, and what crossing with so
 // many KiB is charged.
-func (p *Placer) distance(t *target, kib float64) (way, charge time.Duration) {
+func (p *Placer) distance(t *target, kib float64) (way time.Duration, charge float64) {
 	switch {
 	case t.Zone == p.cfg.Zone:
 		return sameZone, 0
 	case t.region == p.cfg.Regions[p.cfg.Zone]:
-		return otherZone, zoneCharge + time.Duration(kib*float64(zoneByteCharge))
+		return otherZone, zoneCharge + kib*zoneByteCharge
 	default:
-		return otherRegion, regionCharge + time.Duration(kib*float64(regionByteCharge))
+		return otherRegion, regionCharge + kib*regionByteCharge
 	}
 }
