pkg/placer: ways to targets are measured by the connections that are opened

Cause: the ways were 0.2, 3 and 26 ms everywhere; the sites have 12 to 40 ms between regions and 1 to 3 ms between zones. Test: TestMeasuredWays.

--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -27,11 +27,14 @@
 	cfg    Config
 	starts startLog
 	told   toldLog
+	ways   ways
 
 	mu        sync.RWMutex
 	services  map[ids.Service]*pool
 	byShort   map[uint32]*pool
 	evacuated map[ids.Zone]bool
+	// zones holds the zone of each target's address.
+	zones map[string]ids.Zone
 }
 
 // pool holds the targets of one service.
@@ -68,11 +71,14 @@
 // SetTargets replaces the targets. What is known of those that stay is kept.
 func (p *Placer) SetTargets(all []registrar.Target) {
 	byService := make(map[ids.Service][]registrar.Target)
+	zones := make(map[string]ids.Zone, len(all))
 	for _, t := range all {
+		zones[t.Address] = t.Zone
 		byService[t.Service] = append(byService[t.Service], t)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.zones = zones
 	for name, pl := range p.services {
 		if _, ok := byService[name]; !ok {
 			pl.set(nil, p.cfg.Regions)
--- a/pkg/placer/score.go
+++ b/pkg/placer/score.go
@@ -4,13 +4,6 @@
 	"time"
 )
 
-// The ways to targets, there and back, by where they are.
-const (
-	sameZone    = 200 * time.Microsecond
-	otherZone   = 3 * time.Millisecond
-	otherRegion = 26 * time.Millisecond
-)
-
 // Charges are added to the expected finish, in parts of the latency that is aimed at:
 // what a caller can bear, another one can bear in proportion to its work.
 //
@@ -60,8 +53,8 @@
 	if ahead := c.Backlog + 1 - slots; ahead > 0 {
 		c.Wait = time.Duration(ahead / slots * float64(max(pl.work, tm.warm)))
 	}
-	var charge float64
-	c.way, charge = p.distance(t, w.KiB+tm.kib)
+	c.way = p.way(t)
+	charge := p.crossing(t, w.KiB+tm.kib)
 	charge += t.failures * failureCharge
 	if w.KiB == 0 && t.unused(now) {
 		charge -= firstUseCredit
@@ -72,15 +65,14 @@
 	return c, total
 }
 
-// distance returns the time to the target and back, and what crossing with so
-// many KiB is charged.
-func (p *Placer) distance(t *target, kib float64) (way time.Duration, charge float64) {
+// crossing returns what sending so many KiB to the target is charged.
+func (p *Placer) crossing(t *target, kib float64) float64 {
 	switch {
 	case t.Zone == p.cfg.Zone:
-		return sameZone, 0
+		return 0
 	case t.region == p.cfg.Regions[p.cfg.Zone]:
-		return otherZone, zoneCharge + kib*zoneByteCharge
+		return zoneCharge + kib*zoneByteCharge
 	default:
-		return otherRegion, regionCharge + kib*regionByteCharge
+		return regionCharge + kib*regionByteCharge
 	}
 }
--- /dev/null
+++ b/pkg/placer/ways_test.go
@@ -0,0 +1,44 @@
+package placer_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/placer"
+)
+
+// The way to a zone is measured by the connections that are opened: a zone of another
+// region that is near is preferred to one of the region that is far. One connection
+// that took long changes little.
+func TestMeasuredWays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, all := newPlacer(2, "e2", "w1")
+		zone := func() ids.Zone {
+			c := pick(t, p, want("a"))
+			c.Done(placer.Outcome{})
+			return c.Zone
+		}
+		connected := func(z ids.Zone, took time.Duration) {
+			for _, x := range all {
+				if x.Zone == z {
+					p.Connected(x.Address, took)
+				}
+			}
+		}
+		is.Equal(zone(), ids.Zone("e2"))
+		connected("e2", 2*time.Millisecond)
+		connected("w1", 40*time.Millisecond)
+		connected("e2", 3*time.Second) // its host was busy
+		is.Equal(zone(), ids.Zone("e2"))
+		for range 400 {
+			connected("e2", 300*time.Millisecond)
+		}
+		is.Equal(zone(), ids.Zone("w1"))
+		p.Connected("10.9.9.9:1", time.Millisecond) // of no target
+	})
+}
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -107,6 +107,7 @@
 	h.budget.Saved = func() float64 { return savedRetries * h.share() }
 	h.sender = targets.New(targets.Config{
 		ConnectTimeout: targetConnect, IdleTimeout: targetIdle, Connections: targetConnections, Untimed: true,
+		Connected: h.placer.Connected,
 	})
 	h.recorder = newRecorder(&h.tally)
 	h.handler = gateway.New(gateway.Config{
--- a/service/targets/sender.go
+++ b/service/targets/sender.go
@@ -42,6 +42,8 @@
 	// Connections bounds the connections from this host to one target that
 	// Configure has not named.
 	Connections int
+	// Connected, where set, is told how long opening a connection took.
+	Connected func(address string, took time.Duration)
 	// Untimed leaves HeaderTimeout out: the time left is told in another field.
 	Untimed bool
 }
@@ -153,10 +155,14 @@
 func (s *Sender) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.ConnectTimeout)
 	defer cancel()
+	begun := time.Now()
 	c, err := s.cfg.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	if s.cfg.Connected != nil {
+		s.cfg.Connected(address, time.Since(begun))
+	}
 	return &countedConn{Conn: c}, nil
 }
 
