--- a/pkg/placer/score.go
+++ b/pkg/placer/score.go
@@ -4,22 +4,19 @@
 	"time"
 )
 
-// Charges are added to the expected finish, in parts of the latency that is aimed at:
-// what a caller can bear, another one can bear in proportion to its work.
-//
-// Crossing a zone or region is charged so that targets nearby are preferred unless
-// that costs the caller more.
+// Crossing a zone or region is charged to the expected finish, so that targets
+// nearby are preferred unless that costs the caller more.
 const (
-	zoneCharge   = 0.075
-	regionCharge = 0.05
+	zoneCharge   = 30 * time.Millisecond
+	regionCharge = 20 * time.Millisecond
 	// zoneByteCharge and regionByteCharge are added for each KiB that crosses.
-	zoneByteCharge   = 0.03
-	regionByteCharge = 0.0125
+	zoneByteCharge   = 12 * time.Millisecond
+	regionByteCharge = 5 * time.Millisecond
 	// spreadCharge orders targets that are alike by the object's hash, so that
 	// all hosts send an object to the same ones.
-	spreadCharge = 0.15
+	spreadCharge = 60 * time.Millisecond
 	// failureCharge is added in proportion to a target's share of failures.
-	failureCharge = 5.0
+	failureCharge = 2 * time.Second
 )
 
 // pressureCharge is what slot time beyond that of warm work is charged when all
@@ -29,7 +26,7 @@
 // firstUseCredit is taken off for a target that nobody has used yet, so that it
 // begins to carry its part. Requests with bodies are left out: they cost more to
 // send far.
-const firstUseCredit = 2.5
+const firstUseCredit = time.Second
 
 // coldStartFactor is how much longer a target takes while it is cold.
 const coldStartFactor = 2
@@ -54,25 +51,24 @@
 		c.Wait = time.Duration(ahead / slots * float64(max(pl.work, tm.warm)))
 	}
 	c.way = p.way(t)
-	charge := p.crossing(t, w.KiB+tm.kib)
-	charge += t.failures * failureCharge
+	total := c.Wait + c.Work + c.way + p.crossing(t, w.KiB+tm.kib)
+	total += time.Duration(pl.pressure * float64(c.Work-tm.warm) * pressureCharge)
+	total += time.Duration(t.failures * float64(failureCharge))
 	if w.KiB == 0 && t.unused(now) {
-		charge -= firstUseCredit
+		total -= firstUseCredit
 	}
-	charge += spread(w.Object, t.short) * spreadCharge
-	total := c.Wait + c.Work + c.way + time.Duration(charge*float64(w.Objective))
-	total += time.Duration(pl.pressure * float64(c.Work-tm.warm) * pressureCharge)
+	total += time.Duration(spread(w.Object, t.short) * float64(spreadCharge))
 	return c, total
 }
 
 // crossing returns what sending so many KiB to the target is charged.
-func (p *Placer) crossing(t *target, kib float64) float64 {
+func (p *Placer) crossing(t *target, kib float64) time.Duration {
 	switch {
 	case t.Zone == p.cfg.Zone:
 		return 0
 	case t.region == p.cfg.Regions[p.cfg.Zone]:
-		return zoneCharge + kib*zoneByteCharge
+		return zoneCharge + time.Duration(kib*float64(zoneByteCharge))
 	default:
-		return regionCharge + kib*regionByteCharge
+		return regionCharge + time.Duration(kib*float64(regionByteCharge))
 	}
 }
