--- a/pkg/allotter/allotter.go
+++ b/pkg/allotter/allotter.go
@@ -6,6 +6,7 @@
 package allotter
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -32,6 +33,12 @@
 	demandTime = time.Second
 	// allowanceTime is how much of its part a host may save up.
 	allowanceTime = 100 * time.Millisecond
+	// startPart is the part of what is spare that hosts admit when they start, alone, and
+	// once more when they hear each other.
+	startPart = 0.125
+	// savedPart is the part of the hosts that have a request of their part saved up when
+	// a workspace turns hot. What is spare has to bear these first.
+	savedPart = 0.25
 	// longestReturn bounds the wait that is told to a refused caller.
 	longestReturn = 5 * time.Second
 )
@@ -59,6 +66,10 @@
 	// Members returns how many hosts are registered, this one included. Nil
 	// means one.
 	Members func() int
+	// Spare returns what a workspace may be admitted over its limit. Hosts that have
+	// just started use a part of it, as they do not know what was used before. Nil
+	// means nothing.
+	Spare func(w *router.Workspace) float64
 
 	mu sync.Mutex
 	// lag is how old what hosts tell each other may be, and patience the time
@@ -101,6 +112,8 @@
 	// returnAt is when the last refused caller was told to come back.
 	returnAt time.Time
 	told     uint64
+	// fresh says that this host has not heard others since the bucket was made.
+	fresh bool
 }
 
 // demand is a moving average of requests a second.
@@ -149,6 +162,11 @@
 // may use.
 type limit struct {
 	rate, burst float64
+	// start is the level of a bucket whose past is not known, over all hosts.
+	start float64
+	// part is the hosts' part of the limit, and cutOff says that this host is alone.
+	part   float64
+	cutOff bool
 }
 
 // limit returns the part for this host and those that it hears. The caller
@@ -171,7 +189,12 @@
 		hears = 1 // Nobody at all: it is this host that is cut off.
 	}
 	part := min(float64(hears)/float64(members), 1)
-	return limit{w.Rate * part, max(w.Burst*part, 1)}
+	l := limit{rate: w.Rate * part, burst: max(w.Burst*part, 1), part: part, cutOff: cutOff}
+	if a.Spare != nil {
+		spare := max(a.Spare(w)-savedPart*float64(members), 0)
+		l.start = min(w.Burst, startPart*spare)
+	}
+	return l
 }
 
 // bucket returns the bucket of w, brought to now. The caller holds the lock.
@@ -181,10 +204,13 @@
 		if a.buckets == nil {
 			a.buckets = make(map[Name]*bucket)
 		}
-		// A host that has just started does not know what was used before.
-		b = &bucket{at: now, peers: make(map[ids.Scope]*Usage)}
+		b = newBucket(l, now)
 		a.buckets[name] = b
 	}
+	if b.fresh && !l.cutOff {
+		b.fresh = false
+		b.tokens = max(b.tokens, l.start)
+	}
 	dt := now.Sub(b.at).Seconds()
 	b.at = now
 	b.tokens = min(l.burst, b.tokens+l.rate*dt)
@@ -193,6 +219,17 @@
 	return b
 }
 
+// newBucket returns the bucket of a host that does not know what was used before. All
+// hosts that start together have the start level together: where that is less than one
+// request for each, some have one.
+func newBucket(l limit, now time.Time) *bucket {
+	b := &bucket{at: now, peers: make(map[ids.Scope]*Usage), fresh: true}
+	if rand.Float64() < l.start*l.part {
+		b.tokens, b.allowance = 1, 1
+	}
+	return b
+}
+
 // part is this host's part of the demand, above 0 and at most 1.
 func (b *bucket) part() float64 {
 	own := max(b.demand.rate, 0.5)
--- a/pkg/allotter/allotter_test.go
+++ b/pkg/allotter/allotter_test.go
@@ -278,3 +278,76 @@
 		is.True(ok)
 	})
 }
+
+// spare is what the operators allow over a workspace's limit in a window.
+func spare(w *router.Workspace) float64 {
+	return excess*(w.Rate*window.Seconds()+w.Burst) + slack
+}
+
+// restart replaces all hosts by new ones, which hear nobody for a while.
+func (f *fleet) restart(rnd *rand.Rand, w *router.Workspace, load float64, deaf time.Duration) {
+	n := len(f.hosts)
+	for i := range f.hosts {
+		f.hosts[i] = &allotter.Allotter{Members: func() int { return n }, Spare: spare}
+		f.hosts[i].SetLag(f.tellEvery, 0)
+		f.cut[i] = true
+	}
+	f.ready(w)
+	f.run(rnd, w, load, even(n), deaf)
+	clear(f.cut)
+}
+
+// deafTime is how long hosts that start together hear nothing of each other.
+const deafTime = 800 * time.Millisecond
+
+// restartTime is the time in which hosts that all lost their memory admit again what
+// is inside the rate.
+const restartTime = 2 * time.Second
+
+// When all hosts have lost their memory, a workspace inside its rate is refused for a
+// moment only.
+func TestRandomisedRestartOfAllHostsRefusesLittle(t *testing.T) {
+	for _, n := range []int{10, 89, 195} {
+		for _, rate := range []float64{12, 50, 178} {
+			t.Run(fmt.Sprintf("%dHosts/%gPerSecond", n, rate), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					w := &router.Workspace{Name: "school", Rate: rate, Burst: rate}
+					f := newFleet(n)
+					rnd := seeds.Source(t)
+					load := rate * 0.6
+					f.restart(rnd, w, load, deafTime)
+					f.run(rnd, w, load, even(n), 4*time.Second)
+					refused := f.asked - len(f.admitted)
+					t.Logf("%d refused, of %.0f a second", refused, load)
+					is.True(float64(refused) <= load*restartTime.Seconds())
+				})
+			})
+		}
+	}
+}
+
+// Where a hot workspace has used up its rate, hosts that all lose their memory do not
+// admit it too much.
+func TestRandomisedRestartOfAllHostsKeepsTheRate(t *testing.T) {
+	for _, n := range []int{10, 70} {
+		for _, rate := range []float64{12, 100, 400} {
+			t.Run(fmt.Sprintf("%dHosts/%gPerSecond", n, rate), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					w := &router.Workspace{Name: "school", Rate: rate, Burst: rate}
+					f := newFleet(n)
+					f.ready(w)
+					f.tell()
+					rnd := seeds.Source(t)
+					f.run(rnd, w, rate*0.6, even(n), 5*time.Second)
+					f.run(rnd, w, rate*4, even(n), 5*time.Second)
+					f.restart(rnd, w, rate*4, deafTime)
+					f.run(rnd, w, rate*4, even(n), 6*time.Second)
+					t.Logf("at most %d of %d in a window", f.most(), bound(w))
+					is.True(f.most() <= bound(w))
+				})
+			})
+		}
+	}
+}
--- a/pkg/gatewaysettings/gatewaysettings.go
+++ b/pkg/gatewaysettings/gatewaysettings.go
@@ -64,6 +64,11 @@
 	LookupTTL string `json:"lookupTtl"`
 	// RetryRatio is the share of a service's requests that may be sent again.
 	RetryRatio float64 `json:"retryRatio"`
+	// In any RateWindow a workspace may be admitted the part RateExcess of its limit,
+	// and RateSlack requests, over the limit.
+	RateWindow string  `json:"rateWindow"`
+	RateExcess float64 `json:"rateExcess"`
+	RateSlack  float64 `json:"rateSlack"`
 }
 
 // The defaults of empty bounds.
@@ -109,7 +114,7 @@
 	for _, m := range []struct {
 		path  string
 		value float64
-	}{{"machine.cores", s.Machine.Cores}, {"machine.linkMbps", s.Machine.LinkMbps}} {
+	}{{"machine.cores", s.Machine.Cores}, {"machine.linkMbps", s.Machine.LinkMbps}, {"bounds.rateExcess", s.Bounds.RateExcess}, {"bounds.rateSlack", s.Bounds.RateSlack}} {
 		if m.value < 0 {
 			d.Fault(m.path, fmt.Sprintf("%v is less than nothing", m.value))
 		}
@@ -118,6 +123,7 @@
 		{"bounds.revoke", s.Bounds.Revoke},
 		{"bounds.grace", s.Bounds.Grace},
 		{"bounds.lookupTtl", s.Bounds.LookupTTL},
+		{"bounds.rateWindow", s.Bounds.RateWindow},
 	} {
 		if v, err := time.ParseDuration(t.text); t.text != "" && (err != nil || v <= 0) {
 			d.Fault(t.path, fmt.Sprintf("%q is no time such as \"1500ms\"", t.text))
@@ -142,6 +148,9 @@
 // LookupTime returns how long callers may keep the answer of a look-up.
 func (b Bounds) LookupTime() time.Duration { return duration(b.LookupTTL, defaultLookupTTL) }
 
+// RateWindowTime returns the time over which rates are judged.
+func (b Bounds) RateWindowTime() time.Duration { return duration(b.RateWindow, 0) }
+
 // Ratio returns the share of requests that may be sent again.
 func (b Bounds) Ratio() float64 {
 	if b.RetryRatio > 0 {
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -57,6 +57,15 @@
 	Revoke, Grace time.Duration
 	// RetryRatio is the share of requests that may be sent again.
 	RetryRatio float64
+	// In any RateWindow, a workspace may be admitted what its limit allows and the
+	// part RateExcess of that, and RateSlack requests, more.
+	RateWindow            time.Duration
+	RateExcess, RateSlack float64
+}
+
+// spare returns what a workspace may be admitted over its limit.
+func (b *Bounds) spare(w *router.Workspace) float64 {
+	return b.RateExcess*(w.Rate*b.RateWindow.Seconds()+w.Burst) + b.RateSlack
 }
 
 // Config holds what a Host needs. All fields are required.
@@ -104,6 +113,7 @@
 	h.placer = placer.New(placer.Config{Zone: cfg.Self.Zone, Regions: cfg.Regions, ColdShare: h.share})
 	h.registrar.Changed = h.placer.SetTargets
 	h.allotter.Members = h.lister.Count
+	h.allotter.Spare = func(w *router.Workspace) float64 { return h.limits.Load().spare(w) }
 	h.budget.Saved = func() float64 { return savedRetries * h.share() }
 	h.sender = targets.New(targets.Config{
 		ConnectTimeout: targetConnect, IdleTimeout: targetIdle, Connections: targetConnections, Untimed: true,
