--- a/service/siblings/zone.go
+++ b/service/siblings/zone.go
@@ -48,6 +48,8 @@
 	nextAt, nextNeighbours, nextAbroad time.Time
 	// passOn is news of other zones that this zone has not been told.
 	passOn []heldNews
+	// spoke says that this host spoke in the last round.
+	spoke bool
 }
 
 // heldNews is news that waits to be passed on.
@@ -100,7 +102,11 @@
 	own := &summarizer.Report{Ready: r.message.Ready, Running: r.running, Usages: r.usages}
 	own.Starts, z.toldOwn = g.cfg.Placer.Starts(z.toldOwn, maxStarts)
 	z.sums.Take(g.cfg.Self.Instance, own, r.now)
-	if z.delegates.Speaks() {
+	if speaks := z.delegates.Speaks(); speaks != z.spoke {
+		z.spoke = speaks
+		g.cfg.Log.WithField("zone", string(g.cfg.Self.Zone)).WithField("speaks", speaks).Info("speaker of the zone")
+	}
+	if z.spoke {
 		g.speak(r, members)
 	} else {
 		z.passOn = nil
