service/targets, service/gateway: an answer to another request ends its connection

Cause: a target that sends a second copy of an answer late, on a connection that is in use again, leaves it one answer behind.

--- a/service/gateway/endless_test.go
+++ b/service/gateway/endless_test.go
@@ -13,14 +13,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"gypsumbeam.example/gypsumbeam/pkg/ids"
-	"gypsumbeam.example/gypsumbeam/pkg/placer"
-	"gypsumbeam.example/gypsumbeam/pkg/registrar"
-	"gypsumbeam.example/gypsumbeam/pkg/retrier"
-	"gypsumbeam.example/gypsumbeam/pkg/router"
-	"gypsumbeam.example/gypsumbeam/service/gateway"
-	targetsender "gypsumbeam.example/gypsumbeam/service/targets"
 )
 
 // endless is a target that answers each request with a beginning and then with the
@@ -92,18 +84,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			e := &endless{beginning: c.beginning, rest: c.rest, pause: c.pause, closed: make(chan struct{})}
-			w := &world{}
-			w.router.Store(router.New(document()))
-			p := placer.New(placer.Config{Zone: "e1", Regions: map[ids.Zone]ids.Region{"e1": "east"}})
-			p.SetTargets([]registrar.Target{{ID: "one", Service: "a", Address: "10.0.0.1:1", Zone: "e1", Slots: 4}})
-			sender := targetsender.New(targetsender.Config{Dial: e.dial, Untimed: true})
-			defer sender.Close()
-			h := gateway.New(gateway.Config{
-				Headers: plainHeaders{}, Routes: w, Confirmer: w, Placer: p, Quota: w, Sender: sender,
-				Budget: &retrier.Budget{}, Recorder: w,
-				KeyBound:   func() time.Duration { return keyBound },
-				RetryRatio: func() float64 { return 1 },
-			})
+			h, p, closeAll := withOneTarget(e.dial)
+			defer closeAll()
 			begun := time.Now()
 			whole := callWhole(h)
 			is.True(time.Since(begun) < patience+slack)
--- a/service/gateway/fuzz_test.go
+++ b/service/gateway/fuzz_test.go
@@ -54,20 +54,27 @@
 	}
 }
 
-// rawWorld serves one request by a target that answers with raw bytes.
-func rawWorld(answer []byte) *httptest.ResponseRecorder {
+// withOneTarget returns a handler with one target that is reached by dial, what it
+// chooses the target with, and what closes its connections.
+func withOneTarget(dial func(context.Context, string) (net.Conn, error)) (*gateway.Handler, *placer.Placer, func()) {
 	w := &world{}
 	w.router.Store(router.New(document()))
 	p := placer.New(placer.Config{Zone: "e1", Regions: map[ids.Zone]ids.Region{"e1": "east"}})
 	p.SetTargets([]registrar.Target{{ID: "one", Service: "a", Address: "10.0.0.1:1", Zone: "e1", Slots: 4}})
-	sender := targetsender.New(targetsender.Config{Dial: dialRaw(answer), Untimed: true})
-	defer sender.Close()
+	sender := targetsender.New(targetsender.Config{Dial: dial, Untimed: true})
 	h := gateway.New(gateway.Config{
 		Headers: plainHeaders{}, Routes: w, Confirmer: w, Placer: p, Quota: w, Sender: sender,
 		Budget: &retrier.Budget{}, Recorder: w,
 		KeyBound:   func() time.Duration { return keyBound },
 		RetryRatio: func() float64 { return 1 },
 	})
+	return h, p, sender.Close
+}
+
+// rawWorld serves one request by a target that answers with raw bytes.
+func rawWorld(answer []byte) *httptest.ResponseRecorder {
+	h, _, closeAll := withOneTarget(dialRaw(answer))
+	defer closeAll()
 	return call(h, http.MethodPost, "/pay/1", "body", "Patience", "300")
 }
 
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -168,6 +168,7 @@
 		resp.StatusCode < http.StatusOK:
 		res.word = "notItsAnswer"
 		res.outcome.Failed = true
+		breakOff(resp)
 		return res
 	case v.NotRun:
 		res.word = "notRun"
@@ -184,6 +185,17 @@
 	return q.readBody(res)
 }
 
+// breaker is the body of an answer whose connection can be ended.
+type breaker interface{ Break() }
+
+// breakOff ends the connection of an answer that is not its request's: what comes next
+// on it would not be either.
+func breakOff(resp *http.Response) {
+	if b, ok := resp.Body.(breaker); ok {
+		b.Break()
+	}
+}
+
 // isPromise reports whether a status says that the request has not run.
 func isPromise(status int) bool {
 	switch status {
--- a/service/targets/conn.go
+++ b/service/targets/conn.go
@@ -1,7 +1,9 @@
 package targets
 
 import (
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
@@ -60,6 +62,30 @@
 	return a.conn != nil && a.conn.writes.Load() > a.before
 }
 
+// body is the body of an answer. Its connection can be ended from outside, also while
+// it carries the next request.
+type body struct {
+	io.ReadCloser
+	conn      *countedConn
+	transport *transport
+}
+
+// Break ends the connection that the answer came on. The connections to the target that
+// are not in use go too, as the transport would still give this one out.
+func (b *body) Break() {
+	_ = b.conn.Close() // It is of no more use either way.
+	b.transport.CloseIdleConnections()
+}
+
+// wrap lets the answer's connection be ended.
+func (a *attempt) wrap(resp *http.Response, t *transport) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		resp.Body = &body{resp.Body, a.conn, t}
+	}
+}
+
 func (a *attempt) trace() Trace {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/service/targets/sender.go
+++ b/service/targets/sender.go
@@ -180,7 +180,8 @@
 //
 // r's header must be free of keys and hop-by-hop fields. Send sets HeaderTimeout
 // to the time left until ctx's deadline unless the Sender is Untimed. When ctx ends the connection is
-// closed, by which the target learns that it may stop.
+// closed, by which the target learns that it may stop. The answer's body has a method
+// Break that ends the connection, for answers that are not the request's.
 func (s *Sender) Send(ctx context.Context, address string, r *http.Request) (*http.Response, Trace, error) {
 	a := &attempt{}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
@@ -195,7 +196,11 @@
 		left := max(time.Until(deadline)+time.Millisecond-1, 0).Milliseconds()
 		r.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
 	}
-	resp, err := s.transport(address).RoundTrip(r)
+	t := s.transport(address)
+	resp, err := t.RoundTrip(r)
+	if err == nil {
+		a.wrap(resp, t)
+	}
 	return resp, a.trace(), err
 }
 
