pkg/allotter: more of what is spare at a start, most of it in small fleets

Cause: in an incident of further (nine hosts, all killed) 255 requests of some 360 were refused over rate in two seconds after the restart; with few hosts little is saved up, so the rule leaves more room than the part of an eighth used.

--- a/pkg/allotter/allotter.go
+++ b/pkg/allotter/allotter.go
@@ -35,10 +35,10 @@
 	allowanceTime = 100 * time.Millisecond
 	// startPart is the part of what is spare that hosts admit when they start, alone, and
 	// once more when they hear each other.
-	startPart = 0.125
+	startPart = 0.5
 	// savedPart is the part of the hosts that have a request of their part saved up when
 	// a workspace turns hot. What is spare has to bear these first.
-	savedPart = 0.25
+	savedPart = 0.35
 	// longestReturn bounds the wait that is told to a refused caller.
 	longestReturn = 5 * time.Second
 )
