--- a/service/siblings/zone.go
+++ b/service/siblings/zone.go
@@ -1,7 +1,6 @@
 package siblings
 
 import (
-	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -285,9 +284,7 @@
 // firstInRegion returns the speaker of the first zone of the region that is heard,
 // false if that is this host's own. The caller holds the lock.
 func (g *Gossiper) firstInRegion(now time.Time) (ids.Instance, bool) {
-	heard := g.zone.delegates.Heard(now)
-	slices.Sort(heard)
-	for _, other := range heard {
+	for _, other := range g.zone.delegates.Heard(now) {
 		if other >= g.cfg.Self.Zone {
 			return "", false
 		}
