pkg/registrar: a missing target is kept 1.6 s after an outage of the store

A host that was cut off from the store and its siblings for 10 s read everything 1.2 s after the cut's end, and kept a target that had left meanwhile for 2 s more: 0.2 s past the time from which it counts as in touch.

--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -11,9 +11,10 @@
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
 )
 
-// returnTime is how long a target that lived through an outage of the store
-// takes to register again.
-const returnTime = 2 * time.Second
+// returnTime is how long a missing target is kept after an outage of the store. One
+// that lived through it registers again within two seconds of the store's return, which
+// this host notices a moment later.
+const returnTime = 1600 * time.Millisecond
 
 // Target is what a target registered of itself.
 type Target struct {
