--- a/pkg/placer/told.go
+++ b/pkg/placer/told.go
@@ -11,7 +11,7 @@
 // target, so that a choice costs the same however many hosts there are.
 type toldLog struct {
 	mu     sync.Mutex
-	scopes map[ids.Scope]*toldCounts
+	scopes map[ids.Scope]toldCounts
 	totals map[uint32]int
 	// nextLapse is when the oldest word may lapse.
 	nextLapse time.Time
@@ -29,7 +29,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.scopes == nil {
-		l.scopes = make(map[ids.Scope]*toldCounts)
+		l.scopes = make(map[ids.Scope]toldCounts)
 		l.totals = make(map[uint32]int)
 		l.nextLapse = now.Add(peerLife)
 	}
@@ -38,18 +38,17 @@
 	for _, r := range running {
 		counts[r.Target] += r.Count
 	}
-	if old := l.scopes[scope]; old != nil {
-		l.subtract(old, counts, changed)
-	}
-	l.add(counts, l.scopes[scope], changed)
-	l.scopes[scope] = &toldCounts{counts, now}
+	old := l.scopes[scope].counts
+	l.subtract(old, counts, changed)
+	l.add(counts, old, changed)
+	l.scopes[scope] = toldCounts{counts, now}
 	return changed
 }
 
 // subtract takes the targets out that a scope no longer has. The caller holds the
 // lock.
-func (l *toldLog) subtract(old *toldCounts, counts, changed map[uint32]int) {
-	for short, n := range old.counts {
+func (l *toldLog) subtract(old, counts, changed map[uint32]int) {
+	for short, n := range old {
 		if _, ok := counts[short]; !ok {
 			l.change(short, -n, changed)
 		}
@@ -58,13 +57,10 @@
 
 // add takes the counts of a scope in that differ from those before. The caller holds
 // the lock.
-func (l *toldLog) add(counts map[uint32]int, old *toldCounts, changed map[uint32]int) {
+func (l *toldLog) add(counts, old, changed map[uint32]int) {
 	for short, n := range counts {
-		if old != nil {
-			n -= old.counts[short]
-		}
-		if n != 0 {
-			l.change(short, n, changed)
+		if more := n - old[short]; more != 0 {
+			l.change(short, more, changed)
 		}
 	}
 }
@@ -94,7 +90,7 @@
 		lapse := c.at.Add(peerLife)
 		switch {
 		case !now.Before(lapse):
-			l.subtract(c, nil, changed)
+			l.subtract(c.counts, nil, changed)
 			delete(l.scopes, scope)
 		case lapse.Before(l.nextLapse):
 			l.nextLapse = lapse
