pkg/placer, pkg/summarizer: one log of starts

The numbered log of the most recent starts stood twice, in the placer for its own host and in the summarizer for a zone. No behaviour changes: placer, summarizer, siblings (with -race) and the model's tests pass as they were.

--- a/pkg/placer/pick.go
+++ b/pkg/placer/pick.go
@@ -95,7 +95,9 @@
 		return nil, &ErrBusy{Wait: pl.nextReturn(s.shortest, now)}
 	}
 	s.best.begin(pl, now)
-	p.starts.add(s.best.target.short, w.Object)
+	if w.Object != NoObject {
+		p.starts.Add(Start{s.best.target.short, w.Object})
+	}
 	return &s.best, nil
 }
 
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -25,7 +25,7 @@
 // from several goroutines.
 type Placer struct {
 	cfg    Config
-	starts startLog
+	starts StartLog
 	told   toldLog
 	ways   ways
 
--- a/pkg/placer/share.go
+++ b/pkg/placer/share.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -19,33 +20,32 @@
 	Count  int
 }
 
-// maxStarts bounds the starts that are kept for other hosts.
-const maxStarts = 512
+// maxStarts bounds the starts that a StartLog keeps; beyond it, the older half goes.
+const maxStarts = 1024
 
-// startLog holds this host's most recent starts, numbered from 0.
-type startLog struct {
-	mu   sync.Mutex
-	all  []Start
+// StartLog holds the most recent starts, numbered from 0. The zero value is empty, and
+// its methods may be called from several goroutines.
+type StartLog struct {
+	mu  sync.Mutex
+	all []Start
+	// next is the number of the start that comes next.
 	next uint64
 }
 
-func (l *startLog) add(target uint32, o Object) {
-	if o == NoObject {
-		return
-	}
+// Add adds starts.
+func (l *StartLog) Add(starts ...Start) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.all) >= maxStarts {
-		l.all = append(l.all[:0], l.all[maxStarts/2:]...)
+	l.all = append(l.all, starts...)
+	l.next += uint64(len(starts))
+	if len(l.all) > maxStarts {
+		l.all = slices.Clone(l.all[len(l.all)-maxStarts/2:])
 	}
-	l.all = append(l.all, Start{target, o})
-	l.next++
 }
 
-// Starts returns this host's starts from a number on, at most limit of them,
-// and the number to go on from.
-func (p *Placer) Starts(from uint64, limit int) ([]Start, uint64) {
-	l := &p.starts
+// Since returns the starts from a number on, the last limit of them at most, and the
+// number to go on from.
+func (l *StartLog) Since(from uint64, limit int) ([]Start, uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	first := l.next - uint64(len(l.all))
@@ -53,9 +53,13 @@
 	if l.next-from > uint64(limit) {
 		from = l.next - uint64(limit)
 	}
-	out := make([]Start, l.next-from)
-	copy(out, l.all[from-first:])
-	return out, l.next
+	return slices.Clone(l.all[from-first:]), l.next
+}
+
+// Starts returns this host's starts from a number on, at most limit of them,
+// and the number to go on from.
+func (p *Placer) Starts(from uint64, limit int) ([]Start, uint64) {
+	return p.starts.Since(from, limit)
 }
 
 // Running returns the targets at which this host has requests.
--- a/pkg/summarizer/summarizer.go
+++ b/pkg/summarizer/summarizer.go
@@ -22,8 +22,6 @@
 	// forgetTime is how long a silent host is remembered: if it speaks again, its
 	// counts go on from where they were.
 	forgetTime = time.Minute
-	// maxStarts bounds the starts that wait to be told.
-	maxStarts = 1024
 )
 
 // Report is what one host tells of itself.
@@ -58,9 +56,7 @@
 type Summarizer struct {
 	hosts  map[ids.Instance]*host
 	usages map[allotter.Name]*usage
-	starts []placer.Start
-	// next is the number of the start that comes next.
-	next uint64
+	starts placer.StartLog
 }
 
 // host is what one host told.
@@ -93,7 +89,7 @@
 	for _, u := range r.Usages {
 		s.count(h, u, known, now)
 	}
-	s.keep(r.Starts)
+	s.starts.Add(r.Starts...)
 	s.forget(now)
 }
 
@@ -116,15 +112,6 @@
 	}
 }
 
-// keep keeps starts until they are told.
-func (s *Summarizer) keep(starts []placer.Start) {
-	s.starts = append(s.starts, starts...)
-	s.next += uint64(len(starts))
-	if len(s.starts) > maxStarts {
-		s.starts = slices.Clone(s.starts[len(s.starts)-maxStarts/2:])
-	}
-}
-
 func (s *Summarizer) forget(now time.Time) {
 	for instance, h := range s.hosts {
 		if now.Sub(h.at) > forgetTime {
@@ -136,12 +123,7 @@
 // Starts returns the starts from a number on, at most limit of them, and the number
 // to go on from.
 func (s *Summarizer) Starts(from uint64, limit int) ([]placer.Start, uint64) {
-	first := s.next - uint64(len(s.starts))
-	from = max(from, first)
-	if s.next-from > uint64(limit) {
-		from = s.next - uint64(limit)
-	}
-	return slices.Clone(s.starts[from-first:]), s.next
+	return s.starts.Since(from, limit)
 }
 
 // Sum returns the sum of what the hosts told lately, in a fixed order.
