pkg/placer: objects have few places, where there is room over time

Late is cold work; each zone's hosts gave an object a place of their own, as crossing a zone cost half of what the hash could order (30 ms of 60 ms), and a new object went to a target that was idle at that moment, also in the region that is full over time.

--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -453,3 +453,66 @@
 		pick(t, p, want("a"))
 	})
 }
+
+// Objects that are new while a region is scarce get their places where there is room:
+// a target that was full until now is not idle for long.
+func TestNewObjectsLeaveScarceTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _ := newPlacer(2, "e1")
+		bound := want("bound")
+		for range 40 { // One target is always full, as its object is bound to it.
+			var all []*placer.Choice
+			for range slots {
+				w := bound
+				w.Avoid = []ids.Target{"e1-1"}
+				all = append(all, pick(t, p, w))
+			}
+			time.Sleep(warmWork)
+			for _, c := range all {
+				c.Done(placer.Outcome{Answered: true})
+			}
+		}
+		serve(t, p, want("other"), coldWork)
+		scarce := 0
+		for o := range 40 {
+			c := pick(t, p, want(fmt.Sprint(o)))
+			c.Done(placer.Outcome{Answered: true})
+			if c.ID == "e1-0" {
+				scarce++
+			}
+		}
+		is.True(scarce <= 4) // more than half of them where only the moment counted
+	})
+}
+
+// Hosts of all zones of a region give an object the same place, so that it is cold there
+// once and not in each zone.
+func TestHostsOfARegionAgreeOnPlaces(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		one, all := newPlacer(4, "e1", "e2", "w1")
+		other := placer.New(placer.Config{Zone: "e2", Regions: regions})
+		other.SetTargets(all)
+		for _, p := range []*placer.Placer{one, other} {
+			for o := range len(all) {
+				serve(t, p, want(fmt.Sprint("first", o)), coldWork) // No target is unused.
+			}
+		}
+		time.Sleep(time.Minute)
+		agreed, far := 0, 0
+		for o := range 100 {
+			a, b := pick(t, one, want(fmt.Sprint(o))), pick(t, other, want(fmt.Sprint(o)))
+			if a.ID == b.ID {
+				agreed++
+			}
+			if a.Region != "east" {
+				far++
+			}
+			a.Done(placer.Outcome{})
+			b.Done(placer.Outcome{})
+		}
+		is.True(agreed >= 25) // hardly any where only the nearest ones counted
+		is.True(far <= 20)
+	})
+}
--- a/pkg/placer/target.go
+++ b/pkg/placer/target.go
@@ -10,6 +10,8 @@
 const (
 	// loadLife is how long a target's own report of its load counts.
 	loadLife = 400 * time.Millisecond
+	// occupiedLife is the time over which the load of a target is averaged.
+	occupiedLife = 3 * time.Second
 	// peerLife is how long what a peer told of its requests counts.
 	peerLife = 1500 * time.Millisecond
 	// firstEjection and longestEjection are how long a target that failed gets
@@ -41,6 +43,12 @@
 	// told is the sum of the other hosts' requests, as they told.
 	told int
 
+	// occupied is the mean part of the slots that was taken lately, more than 1 where
+	// requests waited. The target has held noticed requests since noticedAt.
+	occupied  float64
+	noticed   float64
+	noticedAt time.Time
+
 	warm recency
 	// rank is the rank of the object that the choice rankedIn was made for.
 	rank     int
@@ -77,6 +85,17 @@
 	return max(told, told+(seen-told)*fresh)
 }
 
+// notice notes how many requests the target holds from now on, and takes what it held
+// until now into the mean.
+func (t *target) notice(backlog float64, now time.Time) {
+	if !t.noticedAt.IsZero() {
+		age := now.Sub(t.noticedAt)
+		part := float64(age) / float64(occupiedLife+age)
+		t.occupied += part * (t.noticed/float64(max(t.Slots, 1)) - t.occupied)
+	}
+	t.noticed, t.noticedAt = backlog, now
+}
+
 func (t *target) cold(now time.Time) bool { return now.Before(t.ColdUntil) }
 
 // unused reports whether no host is known to have sent the target anything.
