--- a/pkg/placer/learn.go
+++ b/pkg/placer/learn.go
@@ -85,6 +85,7 @@
 		return // The time tells more of the queue than of the work.
 	}
 	learn(&pl.work, took)
+	tm.measured = true
 	t := c.target
 	fair := time.Duration(float64(took) / t.slowness)
 	fast := fair < (tm.warm+tm.cold)/2
--- a/pkg/placer/pick.go
+++ b/pkg/placer/pick.go
@@ -45,6 +45,8 @@
 	sent   time.Time
 	way    time.Duration
 	rank   int
+	// measured says that work of the request's class was measured.
+	measured bool
 }
 
 // ErrNoTarget says that no target may get the request.
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -516,3 +516,28 @@
 		is.True(far <= 20)
 	})
 }
+
+// On a service that is overrun, requests of a new class are refused for the wait before
+// them, not for work that nobody has measured: it may be short.
+func TestUnknownWorkIsNoReasonToRefuse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _ := newPlacer(2, "e1")
+		serve(t, p, want("a"), coldWork) // One class is known.
+		for n := range 4 * slots {
+			w := want(fmt.Sprint("b", n))
+			w.Left = time.Minute
+			if _, err := p.Pick(w); err != nil {
+				break
+			}
+		}
+		fresh := placer.Want{Service: "s", Class: "new", Objective: 3 * objective, Left: 3 * objective}
+		c, err := p.Pick(fresh)
+		is.NoErr(err)
+		is.True(c.Wait > 0 && c.Wait+c.Work > fresh.Left) // It waits, and is not expected to end.
+		fresh.Left = c.Wait / 2
+		_, err = p.Pick(fresh)
+		var busy *placer.ErrBusy
+		is.True(errors.As(err, &busy)) // The wait alone is too long.
+	})
+}
--- a/pkg/placer/score.go
+++ b/pkg/placer/score.go
@@ -43,7 +43,7 @@
 func (p *Placer) score(pl *pool, t *target, tm *times, w Want, now time.Time) (Choice, time.Duration) {
 	c := Choice{
 		ID: t.ID, Address: t.Address, Zone: t.Zone, Region: t.region,
-		target: t, want: w, rank: pl.rankOf(t), Backlog: t.backlog(now),
+		target: t, want: w, measured: tm.measured, rank: pl.rankOf(t), Backlog: t.backlog(now),
 	}
 	c.Warm = c.rank >= 0 && float64(c.rank) < pl.kept
 	c.Work = tm.cold
--- a/pkg/placer/target.go
+++ b/pkg/placer/target.go
@@ -126,6 +126,8 @@
 // answers are.
 type times struct {
 	warm, cold time.Duration
+	// measured says that an answer told of them.
+	measured bool
 	kib        float64
 }
 
