--- a/pkg/placer/target.go
+++ b/pkg/placer/target.go
@@ -128,7 +128,7 @@
 	warm, cold time.Duration
 	// measured says that an answer told of them.
 	measured bool
-	kib        float64
+	kib      float64
 }
 
 // learn takes a measurement into a moving average.
