--- a/pkg/confirmer/confirmer.go
+++ b/pkg/confirmer/confirmer.go
@@ -40,6 +40,9 @@
 	return Timestamp{at: time.Now(), suspended: c.suspended()}
 }
 
+// IsZero reports whether s is the zero Timestamp: no point in time.
+func (s Timestamp) IsZero() bool { return s == Timestamp{} }
+
 // Since returns the time elapsed from o to s, including suspensions.
 func (s Timestamp) Since(o Timestamp) time.Duration {
 	return s.at.Sub(o.at) + s.suspended - o.suspended
--- a/service/siblings/receive.go
+++ b/service/siblings/receive.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"gypsumbeam.example/gypsumbeam/pkg/aggregator"
+	"gypsumbeam.example/gypsumbeam/pkg/confirmer"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
 	"gypsumbeam.example/gypsumbeam/pkg/throttler"
 )
@@ -44,25 +45,36 @@
 	updates := b.acceptAll(p, m, now)
 	b.mu.Unlock()
 	b.acceptLimits(p, m, now)
-	b.applyConfirmation(m)
-	b.cfg.State.ObservePeer(m.Version, m.position())
+	b.observe(m)
 	for _, u := range updates {
 		b.apply(u)
 	}
 }
 
-// applyConfirmation takes over a confirmation that the configuration is the newest. The
-// message was sent later than the message of this host that it echoes, by at least the
-// echo delay. So its age as computed by this host's own clock is never too low.
-func (b *Broadcaster) applyConfirmation(m *message) {
-	if m.ConfirmationAge < 0 || m.EchoDelay < 0 || m.Version == 0 || !b.cfg.State.ConfirmedBy(m.Version, m.position()) {
-		return
+// observe takes over what the sender knows of the store, and its confirmation that the
+// configuration is the newest. The position comes first: this host tells others of its
+// position and its confirmation together.
+func (b *Broadcaster) observe(m *message) {
+	at, ok := b.confirmedAt(m)
+	b.cfg.State.ObservePeer(m.Version, m.position(), at)
+	if ok && b.cfg.State.ConfirmedBy(m.Version, m.position()) {
+		b.cfg.Confirmer.Confirm(at)
+	}
+}
+
+// confirmedAt returns when the sender's configuration was confirmed to be the newest, and
+// false if that is not known. The message was sent later than the message of this host
+// that it echoes, by at least the echo delay. So its age as computed by this host's own
+// clock is never too low.
+func (b *Broadcaster) confirmedAt(m *message) (confirmer.Timestamp, bool) {
+	if m.ConfirmationAge < 0 || m.EchoDelay < 0 || m.Version == 0 {
+		return confirmer.Timestamp{}, false
 	}
 	echoTime := m.EchoSentAt + m.EchoDelay
 	if m.EchoSentAt < b.clockOrigin || echoTime > b.clock() {
-		return // It echoes a message of another process.
+		return confirmer.Timestamp{}, false // It echoes a message of another process.
 	}
-	b.cfg.Confirmer.Confirm(b.startedAt.Add(time.Duration(echoTime - m.ConfirmationAge - b.clockOrigin)))
+	return b.startedAt.Add(time.Duration(echoTime - m.ConfirmationAge - b.clockOrigin)), true
 }
 
 // update is the content of an accepted section.
--- a/service/siblings/siblings.go
+++ b/service/siblings/siblings.go
@@ -53,14 +53,18 @@
 type State interface {
 	// Version returns the version of the configuration in force, or 0 if there is none.
 	Version() uint64
-	// Position returns the newest position of the store that this host knows of.
+	// Position returns the newest position of the store that this host knows of, by its
+	// own calls or by what ObservePeer was told. It includes all changes that the store
+	// acknowledged before the last confirmation.
 	Position() ids.Position
 	// ConfirmedBy reports whether the version in force is the newest one, given that another
 	// host at position at has confirmed version to be the newest.
 	ConfirmedBy(version uint64, at ids.Position) bool
 	// ObservePeer is called with the version and position of another host, which may be
-	// ahead of this one.
-	ObservePeer(version uint64, position ids.Position)
+	// ahead of this one. All changes that the store acknowledged before provenAt are in
+	// its history up to position; the zero Timestamp means that this is not known of any
+	// time.
+	ObservePeer(version uint64, position ids.Position, provenAt confirmer.Timestamp)
 }
 
 // Config is the configuration of a Broadcaster. All fields are required.
--- a/service/siblings/siblings_test.go
+++ b/service/siblings/siblings_test.go
@@ -52,10 +52,10 @@
 	paused atomic.Bool
 }
 
-func (h *host) Version() uint64                           { return h.version.Load() }
-func (h *host) Position() ids.Position                    { return ids.Position{Revision: 1} }
-func (h *host) ConfirmedBy(v uint64, _ ids.Position) bool { return v <= h.version.Load() }
-func (h *host) ObservePeer(uint64, ids.Position)          {}
+func (h *host) Version() uint64                                       { return h.version.Load() }
+func (h *host) Position() ids.Position                                { return ids.Position{Revision: 1} }
+func (h *host) ConfirmedBy(v uint64, _ ids.Position) bool             { return v <= h.version.Load() }
+func (h *host) ObservePeer(uint64, ids.Position, confirmer.Timestamp) {}
 
 // ip returns the host's IP address.
 func (h *host) ip() string { return strings.TrimSuffix(h.self.PeersAddress, ":1") }
--- a/service/siblings/zone.go
+++ b/service/siblings/zone.go
@@ -72,7 +72,7 @@
 	const (
 		// step leaves time for a confirmation to arrive from another region.
 		step = 2
-		rest = 5
+		rest = 3
 	)
 	if !z.delegator.IsLeader() {
 		return rest
@@ -83,7 +83,7 @@
 			before++
 		}
 	}
-	return before * step
+	return min(before*step, rest)
 }
 
 // sendInZone sends the messages that are due in a fleet whose zones have leaders. The
