--- a/pkg/replayer/replayer.go
+++ b/pkg/replayer/replayer.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"io"
+	"slices"
 	"sync"
 )
 
@@ -15,6 +16,9 @@
 	errClosed   = errors.New("read from a closed request body")
 )
 
+// prefixSize is how much of a body is kept that is too long to be buffered.
+const prefixSize = 4 << 10
+
 // Replayer buffers the beginning of a body. It is created by New; its methods may be
 // called from several goroutines.
 type Replayer struct {
@@ -23,8 +27,9 @@
 	mu     sync.Mutex
 	limit  int64
 	source io.Reader
-	// buffer holds all bytes read from source, unless overflowed.
-	buffer []byte
+	// buffer holds all bytes read from source, unless overflowed. prefix holds the first
+	// prefixSize bytes then.
+	buffer, prefix []byte
 	// read counts the bytes read from source.
 	read int64
 	err  error
@@ -69,6 +74,20 @@
 	return r.err != nil && !errors.Is(r.err, io.EOF)
 }
 
+// Kept returns the whole body, or the first prefixSize bytes of one that is too long to be
+// read again. It returns false if the body was not read so far, or while a Read of a reader
+// is waiting for the source.
+func (r *Replayer) Kept() ([]byte, bool) {
+	if !r.mu.TryLock() {
+		return nil, false
+	}
+	defer r.mu.Unlock()
+	if r.overflowed {
+		return r.prefix, true
+	}
+	return r.buffer, errors.Is(r.err, io.EOF)
+}
+
 // SetLimit sets the limit in bytes; it applies from the next read of the source.
 func (r *Replayer) SetLimit(limit int64) {
 	r.mu.Lock()
@@ -121,6 +140,9 @@
 	case r.overflowed:
 	case r.read > r.bufferSize:
 		r.overflowed = true
+		r.prefix = append(r.prefix, r.buffer...)
+		r.prefix = append(r.prefix, p[:n]...)
+		r.prefix = slices.Clone(r.prefix[:min(prefixSize, len(r.prefix))])
 		r.buffer = nil
 	default:
 		r.buffer = append(r.buffer, p[:n]...)
--- a/service/gateway/endless_test.go
+++ b/service/gateway/endless_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,12 +17,14 @@
 )
 
 // endlessTarget responds to a request with prefix and then with repeated again and
-// again, until its connection is closed.
+// again, until its connection is closed. It accepts further connections, for which hosts
+// ask when one ends.
 type endlessTarget struct {
 	prefix, repeated string
 	pause            time.Duration
 	written          atomic.Int64
 	closed           chan struct{}
+	once             sync.Once
 }
 
 func (e *endlessTarget) dial(context.Context, string) (net.Conn, error) {
@@ -31,10 +34,10 @@
 }
 
 func (e *endlessTarget) serve(c net.Conn) {
-	defer close(e.closed)
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 		return
 	}
+	defer e.once.Do(func() { close(e.closed) })
 	if _, err := io.WriteString(c, e.prefix); err != nil {
 		return
 	}
--- a/service/gateway/gateway_test.go
+++ b/service/gateway/gateway_test.go
@@ -60,6 +60,8 @@
 	bodies  []string
 }
 
+func (s *fakeSender) Refuses(context.Context, string) bool { return false }
+
 func (s *fakeSender) Do(ctx context.Context, _ string, r *http.Request) (*http.Response, bool, error) {
 	n := min(len(s.sends), len(s.replies)-1)
 	s.sends = append(s.sends, r)
@@ -124,6 +126,7 @@
 func (env *environment) Router() *router.Router     { return env.router.Load() }
 func (env *environment) Age() (time.Duration, bool) { return env.age, true }
 func (env *environment) Record(r *gateway.Record)   { env.records = append(env.records, r) }
+func (env *environment) RecordCrash(*gateway.Crash) {}
 func (env *environment) Admit(*router.Workspace) (time.Duration, bool) {
 	return 250 * time.Millisecond, !env.overRate
 }
--- a/service/gateway/ports.go
+++ b/service/gateway/ports.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"gypsumbeam.example/gypsumbeam/pkg/balancer"
+	"gypsumbeam.example/gypsumbeam/pkg/fingerprinter"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
 	"gypsumbeam.example/gypsumbeam/pkg/router"
 )
@@ -112,6 +113,8 @@
 	// Do sends r to the target at address and returns the response. wrote reports
 	// whether any byte of r may have been written, also if there is an error.
 	Do(ctx context.Context, address string, r *http.Request) (resp *http.Response, wrote bool, err error)
+	// Refuses reports whether nothing listens at the address, as after a crash.
+	Refuses(ctx context.Context, address string) bool
 }
 
 // RetryBudget limits retries to a share of the requests.
@@ -122,10 +125,24 @@
 	AllowRetry(svc ids.Service, ws ids.Workspace) bool
 }
 
-// Recorder receives a Record of each completed request. Record may be called
-// concurrently.
+// Recorder receives a Record of each completed request, and each Crash. Its methods may
+// be called concurrently.
 type Recorder interface {
 	Record(r *Record)
+	RecordCrash(c *Crash)
+}
+
+// Crash describes a target that crashed while it had a request.
+type Crash struct {
+	// ID and Fingerprint identify the request.
+	ID          string
+	Fingerprint fingerprinter.Fingerprint
+	Route       string
+	Service     ids.Service
+	Workspace   ids.Workspace
+	Target      ids.Target
+	// Elapsed is the time from the sending of the request to the crash.
+	Elapsed time.Duration
 }
 
 // Attempt describes one attempt to send a request to a target.
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -143,6 +143,7 @@
 	start := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	res := q.exchange(ctx, c)
+	q.checkCrash(ctx, c, res, start)
 	release := func() {
 		cancel()
 		if res.resp != nil {
--- a/service/gatewayhost/recorder.go
+++ b/service/gatewayhost/recorder.go
@@ -61,6 +61,20 @@
 	}).Info("request")
 }
 
+// RecordCrash implements gateway.Recorder. A crash with many requests is logged for each,
+// as any of them may be the cause, within the bound on lines for failed requests.
+func (r *recorder) RecordCrash(c *gateway.Crash) {
+	r.metrics.Count("crashes", orNone(string(c.Service)))
+	if !r.allowLine(true) {
+		r.metrics.Count("log", "requestsLeftOut")
+		return
+	}
+	r.log.WithFields(log.Fields{
+		"id": c.ID, "fingerprint": c.Fingerprint.String(), "route": c.Route, "service": string(c.Service),
+		"workspace": string(c.Workspace), "target": string(c.Target), "ms": c.Elapsed.Milliseconds(),
+	}).Warn("target crashed under a request")
+}
+
 // count adds the request to the metrics, by workspace, route, region and status.
 func (r *recorder) count(rec *gateway.Record) {
 	workspace, route, region := orNone(string(rec.Workspace)), orNone(rec.Route), none
--- a/service/targets/sender.go
+++ b/service/targets/sender.go
@@ -6,11 +6,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"gypsumbeam.example/gypsumbeam/pkg/config"
@@ -170,6 +172,19 @@
 	return &countedConn{Conn: c}, nil
 }
 
+// Refuses reports whether nothing listens at the address of a target, as after a crash. It
+// returns false if that is not known, as when the target does not answer.
+func (s *Sender) Refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.ConnectTimeout)
+	defer cancel()
+	c, err := s.cfg.Dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = c.Close() // it was not used
+	return false
+}
+
 // Do is like Send, but reports only whether a byte of r may have been written, which is
 // true whenever there is a response.
 func (s *Sender) Do(ctx context.Context, address string, r *http.Request) (resp *http.Response, wrote bool, err error) {
