--- a/pkg/balancer/limits.go
+++ b/pkg/balancer/limits.go
@@ -129,6 +129,9 @@
 	}
 }
 
+// Run identifies the run of the target's process that was chosen.
+func (c *Choice) Run() reconciler.RunHash { return c.target.run }
+
 // ObserveLimit takes in what the target's answer tells about its limit. It is to be
 // called before the answer is passed on. It returns the part of l that counts: an answer
 // that was on its way while the target named a limit does not tell its end.
--- a/pkg/replayer/replayer.go
+++ b/pkg/replayer/replayer.go
@@ -74,18 +74,34 @@
 	return r.err != nil && !errors.Is(r.err, io.EOF)
 }
 
-// Kept returns the whole body, or the first prefixSize bytes of one that is too long to be
-// read again. It returns false if the body was not read so far, or while a Read of a reader
+// Kept returns the whole body, or the first prefixSize bytes of one that fills the buffer. It returns false if the body was not read so far, or while a Read of a reader
 // is waiting for the source.
 func (r *Replayer) Kept() ([]byte, bool) {
 	if !r.mu.TryLock() {
 		return nil, false
 	}
 	defer r.mu.Unlock()
-	if r.overflowed {
+	switch {
+	case r.overflowed:
 		return r.prefix, true
+	case r.read == r.bufferSize:
+		return r.buffer[:min(prefixSize, len(r.buffer))], true
+	default:
+		return r.buffer, errors.Is(r.err, io.EOF)
+	}
+}
+
+// Fill reads the body until it ends or as much is buffered as is kept, so that Kept returns
+// it. It waits for the source. The body can still be read from its start.
+func (r *Replayer) Fill() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := make([]byte, prefixSize)
+	for r.err == nil && !r.overflowed && r.read < r.bufferSize {
+		if _, err := r.next(p[:min(int64(len(p)), r.bufferSize-r.read)]); err != nil {
+			return // the next reader returns it
+		}
 	}
-	return r.buffer, errors.Is(r.err, io.EOF)
 }
 
 // SetLimit sets the limit in bytes; it applies from the next read of the source.
--- a/service/gateway/fuzz_test.go
+++ b/service/gateway/fuzz_test.go
@@ -14,6 +14,7 @@
 
 	"gypsumbeam.example/gypsumbeam/pkg/balancer"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/isolator"
 	"gypsumbeam.example/gypsumbeam/pkg/registrar"
 	"gypsumbeam.example/gypsumbeam/pkg/retrier"
 	"gypsumbeam.example/gypsumbeam/pkg/router"
@@ -63,6 +64,7 @@
 	lb.SetTargets([]registrar.Target{{ID: "one", Service: "a", Address: "10.0.0.1:1", Zone: "e1", Slots: 4}})
 	sender := targetsender.NewSender(targetsender.SenderConfig{Dial: dial, OmitTimeout: true})
 	h := gateway.New(gateway.Config{
+		Isolator:    &isolator.Isolator{},
 		HeaderCodec: testCodec{}, RouterSource: env, Confirmer: env, Balancer: lb, RateLimiter: env, Sender: sender,
 		RetryBudget: &retrier.Budget{}, Recorder: env,
 		MaxConfirmationAge: func() time.Duration { return maxConfirmationAge },
--- a/service/gateway/gateway_test.go
+++ b/service/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 
 	"gypsumbeam.example/gypsumbeam/pkg/balancer"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/isolator"
 	"gypsumbeam.example/gypsumbeam/pkg/registrar"
 	"gypsumbeam.example/gypsumbeam/pkg/retrier"
 	"gypsumbeam.example/gypsumbeam/pkg/router"
@@ -164,6 +165,7 @@
 			{ID: "west", Service: "a", Address: "10.1.0.1:1", Zone: "w1", Slots: 4},
 		})
 		f(env, gateway.New(gateway.Config{
+			Isolator:    &isolator.Isolator{},
 			HeaderCodec: testCodec{}, RouterSource: env, Confirmer: env, Balancer: lb, RateLimiter: env, Sender: env.sender,
 			RetryBudget: &retrier.Budget{}, Recorder: env,
 			MaxConfirmationAge: func() time.Duration { return maxConfirmationAge },
--- a/service/gateway/handler.go
+++ b/service/gateway/handler.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"gypsumbeam.example/gypsumbeam/pkg/fingerprinter"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
 	"gypsumbeam.example/gypsumbeam/pkg/replayer"
 	"gypsumbeam.example/gypsumbeam/pkg/router"
@@ -34,6 +35,7 @@
 	RateLimiter  RateLimiter
 	Sender       Sender
 	RetryBudget  RetryBudget
+	Isolator     Isolator
 	Recorder     Recorder
 	// MaxConfirmationAge returns how long the configuration may be used after its last
 	// confirmation. Later, requests are rejected with status 503, as their keys may
@@ -73,7 +75,9 @@
 	service ids.Service
 	start   time.Time
 	body    *replayer.Replayer
-	record  Record
+	// head is the hash of the request without its body, 0 if it was not needed yet.
+	head   fingerprinter.Hash
+	record Record
 }
 
 // ServeHTTP implements http.Handler.
--- a/service/gateway/ports.go
+++ b/service/gateway/ports.go
@@ -16,6 +16,7 @@
 	"gypsumbeam.example/gypsumbeam/pkg/balancer"
 	"gypsumbeam.example/gypsumbeam/pkg/fingerprinter"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/isolator"
 	"gypsumbeam.example/gypsumbeam/pkg/router"
 )
 
@@ -125,6 +126,22 @@
 	AllowRetry(svc ids.Service, ws ids.Workspace) bool
 }
 
+// Isolator keeps requests that crash targets from further ones. Its methods may be called
+// concurrently.
+type Isolator interface {
+	// Empty reports whether no request is suspected, and Suspects whether one with this
+	// head may be suspected.
+	Empty() bool
+	Suspects(head fingerprinter.Hash) bool
+	// Admit returns whether a request may be sent now, and if not, the time after which it
+	// may come again.
+	Admit(f fingerprinter.Fingerprint) (isolator.Verdict, time.Duration)
+	// RecordCrash records that a target crashed that had the request, and RecordAnswer
+	// that one answered it.
+	RecordCrash(f fingerprinter.Fingerprint, c isolator.Crash)
+	RecordAnswer(f fingerprinter.Fingerprint)
+}
+
 // Recorder receives a Record of each completed request, and each Crash. Its methods may
 // be called concurrently.
 type Recorder interface {
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -57,6 +57,10 @@
 		if n > 0 && !q.mayRetry(ctx, notRun) {
 			break
 		}
+		if err := q.checkSuspicion(ctx); err != nil {
+			pickErr = err
+			break
+		}
 		choice, err := q.h.cfg.Balancer.Pick(q.balancerRequest(avoid))
 		if err != nil {
 			pickErr = err
@@ -86,7 +90,7 @@
 		return
 	}
 	reason, wait := explain(pickErr)
-	if last != nil {
+	if last != nil && reason != reasonIsolated {
 		reason = last.reason
 	}
 	q.giveUp(ctx, notRun, reason, wait)
@@ -97,7 +101,10 @@
 func explain(err error) (reason string, retryAfter time.Duration) {
 	var busy *balancer.ErrBusy
 	var limited *balancer.ErrLimited
+	var suspected *errSuspected
 	switch {
+	case errors.As(err, &suspected):
+		return suspected.reason(), suspected.retryAfter
 	case errors.As(err, &busy):
 		return "busy", busy.RetryAfter
 	case errors.As(err, &limited):
@@ -143,7 +150,7 @@
 	start := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	res := q.exchange(ctx, c)
-	q.checkCrash(ctx, c, res, start)
+	q.observeCrash(ctx, c, res, start)
 	release := func() {
 		cancel()
 		if res.resp != nil {
@@ -377,7 +384,8 @@
 }
 
 // giveUp responds to a request for which no target's response can be passed on. The
-// status is 503 if the request certainly did not run.
+// status is 503 if the request certainly did not run, or 400 if it is known to crash
+// targets.
 func (q *request) giveUp(ctx context.Context, notRun bool, reason string, wait time.Duration) {
 	rej := &rejection{status: http.StatusBadGateway, reason: reason}
 	switch {
@@ -385,6 +393,8 @@
 		rej.status = http.StatusRequestEntityTooLarge
 	case reason == "bodyBroken":
 		rej.status = http.StatusBadRequest
+	case reason == reasonIsolated && notRun:
+		rej.status = http.StatusBadRequest // callers do not repeat it
 	case notRun:
 		rej.status = http.StatusServiceUnavailable
 		rej.retryAfter = wait
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -19,6 +19,7 @@
 	"gypsumbeam.example/gypsumbeam/pkg/collector"
 	"gypsumbeam.example/gypsumbeam/pkg/confirmer"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/isolator"
 	"gypsumbeam.example/gypsumbeam/pkg/lister"
 	"gypsumbeam.example/gypsumbeam/pkg/logflags"
 	"gypsumbeam.example/gypsumbeam/pkg/pacer"
@@ -104,6 +105,7 @@
 	lister      *lister.Lister
 	throttler   throttler.Throttler
 	budget      retrier.Budget
+	isolator    isolator.Isolator
 	sender      *targets.Sender
 	handler     *gateway.Handler
 	server      *pipeliner.Server
@@ -130,6 +132,7 @@
 	h.registrar.OnChange = h.balancer.SetTargets
 	h.throttler.HostCount = h.lister.Count
 	h.throttler.Tolerance = func(w *router.Workspace) float64 { return h.bounds.Load().rateAllowance(w) }
+	h.isolator.Self, h.isolator.Hosts = cfg.Self.Instance, h.instances
 	h.budget.MaxCredit = func() float64 { return maxSavedRetries * h.hostShare() }
 	h.sender = targets.NewSender(targets.SenderConfig{
 		Dial: cfg.Dial, ConnectTimeout: targetConnectTimeout, IdleTimeout: targetIdleTimeout, MaxConnsPerTarget: maxConnsPerTarget, OmitTimeout: true,
@@ -137,12 +140,13 @@
 	})
 	h.handler = gateway.New(gateway.Config{
 		HeaderCodec: cfg.HeaderCodec, RouterSource: h, Confirmer: cfg.Confirmer, Balancer: h.balancer, RateLimiter: &h.throttler,
-		Sender: h.sender, RetryBudget: &h.budget, Recorder: h.recorder,
+		Sender: h.sender, RetryBudget: &h.budget, Isolator: &h.isolator, Recorder: h.recorder,
 		MaxConfirmationAge: h.MaxConfirmationAge, RetryRatio: func() float64 { return h.bounds.Load().RetryRatio },
 	})
 	h.broadcaster = siblings.New(siblings.Config{
 		Self: cfg.Self, Conn: cfg.Conn, Hosts: h.lister.Hosts, Ready: h.Ready, State: cfg.State,
-		Confirmer: cfg.Confirmer, Balancer: h.balancer, Throttler: &h.throttler, Log: logflags.Logger(logflags.Peers),
+		Confirmer: cfg.Confirmer, Balancer: h.balancer, Throttler: &h.throttler, Isolator: &h.isolator,
+		Log: logflags.Logger(logflags.Peers),
 	})
 	h.registerGauges()
 	h.server = pipeliner.New(pipeliner.Config{Handler: h.handler, Bounds: h.serverBounds})
@@ -158,6 +162,18 @@
 	h.metrics.Gauge("siblings.bytes.far", traffic.InterRegionBytes.Load)
 }
 
+// instances returns the hosts that accept callers.
+func (h *Host) instances() []ids.Instance {
+	var all []ids.Instance
+	unavailable := h.broadcaster.Unavailable()
+	for _, o := range h.lister.Hosts() {
+		if !unavailable[o.CallersAddress] {
+			all = append(all, o.Instance)
+		}
+	}
+	return all
+}
+
 // Router implements gateway.RouterSource.
 func (h *Host) Router() *router.Router { return h.router.Load() }
 
@@ -207,6 +223,7 @@
 			now := h.cfg.Confirmer.Now()
 			if d := now.SuspendedSince(last); d > 0 {
 				h.balancer.Suspended(d)
+				h.isolator.Age(d)
 			}
 			last = now
 			h.registrar.Expire()
--- a/service/siblings/receive.go
+++ b/service/siblings/receive.go
@@ -44,7 +44,7 @@
 	p.lastSentAt, p.receivedAt = m.SentAt, b.cfg.Confirmer.Now()
 	updates := b.acceptAll(p, m, now)
 	b.mu.Unlock()
-	b.acceptLimits(p, m, now)
+	b.acceptObservations(p, m, now)
 	b.observe(m)
 	for _, u := range updates {
 		b.apply(u)
@@ -90,7 +90,7 @@
 func (b *Broadcaster) acceptAll(p *peer, m *message, now time.Time) []update {
 	var all []update
 	for _, data := range m.Sections {
-		if isLimitsSection(data) {
+		if isObservations(data) {
 			continue
 		}
 		var s section
@@ -105,18 +105,22 @@
 	return all
 }
 
-// acceptLimits takes in what a peer told about targets' limits.
-func (b *Broadcaster) acceptLimits(p *peer, m *message, now time.Time) {
+// acceptObservations takes in what a peer told about targets' limits and about requests
+// that crash targets.
+func (b *Broadcaster) acceptObservations(p *peer, m *message, now time.Time) {
 	for _, data := range m.Sections {
-		if !isLimitsSection(data) {
+		if !isObservations(data) {
 			continue
 		}
-		var s limitsSection
+		var s observationsSection
 		if err := cbor.Unmarshal(data, &s); err != nil {
-			b.cfg.Log.WithError(err).WithField("from", p.host.PeersAddress).Warn("invalid limits in message; ignoring them")
+			b.cfg.Log.WithError(err).WithField("from", p.host.PeersAddress).Warn("invalid observations in message; ignoring them")
 			continue
 		}
-		b.cfg.Balancer.MergeLimits(s.observations(now))
+		b.cfg.Balancer.MergeLimits(s.limits(now))
+		for i := range s.Suspects {
+			b.cfg.Isolator.Observe(s.Suspects[i].observation(now))
+		}
 	}
 }
 
--- a/service/siblings/siblings.go
+++ b/service/siblings/siblings.go
@@ -27,6 +27,7 @@
 	"gypsumbeam.example/gypsumbeam/pkg/balancer"
 	"gypsumbeam.example/gypsumbeam/pkg/confirmer"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/isolator"
 	"gypsumbeam.example/gypsumbeam/pkg/lister"
 	"gypsumbeam.example/gypsumbeam/pkg/throttler"
 )
@@ -80,6 +81,7 @@
 	Confirmer *confirmer.Confirmer
 	Balancer  *balancer.Balancer
 	Throttler *throttler.Throttler
+	Isolator  *isolator.Isolator
 	Log       log.Interface
 }
 
@@ -153,8 +155,9 @@
 	inFlight     []balancer.InFlight
 	// usages is set only if a message with usages is due.
 	usages []throttler.Usage
-	// limits is the encoded section of targets' limits; nil if there are none to tell.
-	limits cbor.RawMessage
+	// observations is the encoded section of targets' limits and suspected requests; nil
+	// if there are none to tell.
+	observations cbor.RawMessage
 	// updates are the updates that this host gets from its own zone summary.
 	updates []update
 }
@@ -172,8 +175,8 @@
 		Ready: b.cfg.Ready(), ConfirmationAge: -1,
 	}
 	r.inFlight = b.cfg.Balancer.InFlight()
-	if limits := b.cfg.Balancer.Limits(); len(limits) > 0 {
-		r.limits = b.encode(newLimitsSection(limits, r.now))
+	if limits, suspects := b.cfg.Balancer.Limits(), b.cfg.Isolator.Due(); len(limits)+len(suspects) > 0 {
+		r.observations = b.encode(newObservationsSection(limits, suspects, r.now))
 	}
 	b.sendRound(r)
 	for _, u := range r.updates {
@@ -234,8 +237,8 @@
 func (b *Broadcaster) send(p *peer, r *round, sections ...cbor.RawMessage) {
 	m := r.message
 	m.Sections, m.EchoSentAt = sections, p.lastSentAt
-	if r.limits != nil {
-		m.Sections = append(slices.Clip(sections), r.limits)
+	if r.observations != nil {
+		m.Sections = append(slices.Clip(sections), r.observations)
 	}
 	if p.lastSentAt != 0 {
 		m.EchoDelay = int64(b.cfg.Confirmer.Now().Since(p.receivedAt))
--- a/service/siblings/siblings_test.go
+++ b/service/siblings/siblings_test.go
@@ -15,6 +15,7 @@
 	"gypsumbeam.example/gypsumbeam/pkg/balancer"
 	"gypsumbeam.example/gypsumbeam/pkg/confirmer"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/isolator"
 	"gypsumbeam.example/gypsumbeam/pkg/lister"
 	"gypsumbeam.example/gypsumbeam/pkg/logflags"
 	"gypsumbeam.example/gypsumbeam/pkg/registrar"
@@ -146,7 +147,7 @@
 	h.balancer.SetTargets([]registrar.Target{{ID: "t", Service: "s", Address: "10.1.0.1:1", Slots: 2, Zone: "z"}})
 	h.broadcaster = siblings.New(siblings.Config{
 		Self: h.self, Conn: h.conn, Hosts: fl.hostList, Ready: func() bool { return true }, State: h,
-		Confirmer: h.confirmer, Balancer: h.balancer, Throttler: h.throttler, Log: logflags.Logger(logflags.Peers),
+		Confirmer: h.confirmer, Balancer: h.balancer, Throttler: h.throttler, Isolator: &isolator.Isolator{}, Log: logflags.Logger(logflags.Peers),
 	})
 	fl.mu.Lock()
 	fl.hosts[self.PeersAddress] = h
