--- a/pkg/fingerprinter/fingerprinter.go
+++ b/pkg/fingerprinter/fingerprinter.go
@@ -8,6 +8,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"fmt"
 	"net/http"
 )
@@ -16,6 +17,9 @@
 // the same one.
 type Hash uint64
 
+// hashBytes is the size of a Hash.
+const hashBytes = 8
+
 // Fingerprint identifies requests that are the same but for their IDs.
 type Fingerprint struct {
 	// Head covers the method, host, path and query, workspace and object.
@@ -29,6 +33,20 @@
 	return fmt.Sprintf("%016x%016x", uint64(f.Head), uint64(f.Body))
 }
 
+// Parse returns the fingerprint that String returned.
+func Parse(text string) (Fingerprint, error) {
+	sum, err := hex.DecodeString(text)
+	if err != nil || len(sum) != 2*hashBytes {
+		return Fingerprint{}, &ErrInvalid{Text: text}
+	}
+	return Fingerprint{Head: first(sum), Body: first(sum[hashBytes:])}, nil
+}
+
+// ErrInvalid means that a text is no fingerprint.
+type ErrInvalid struct{ Text string }
+
+func (e *ErrInvalid) Error() string { return fmt.Sprintf("%q is no fingerprint", e.Text) }
+
 // Head returns the hash of a request without its body. requestTarget is its path and query,
 // and object what it is about, if known.
 func Head(r *http.Request, requestTarget, workspace, object string) Hash {
--- a/pkg/fingerprinter/fingerprinter_test.go
+++ b/pkg/fingerprinter/fingerprinter_test.go
@@ -31,3 +31,16 @@
 	}
 	is.Equal(fingerprinter.Head(get, "/a", "w", "o"), fingerprinter.Head(get, "/a", "w", "o"))
 }
+
+// The text of a fingerprint leads back to it, and other texts are rejected.
+func TestTextIsParsed(t *testing.T) {
+	is := is.New(t)
+	want := fingerprinter.Fingerprint{Head: 1 << 63, Body: 7}
+	got, err := fingerprinter.Parse(want.String())
+	is.NoErr(err)
+	is.Equal(got, want)
+	for _, text := range []string{"", "00", want.String() + "00", "g" + want.String()[1:]} {
+		_, err := fingerprinter.Parse(text)
+		is.True(err != nil)
+	}
+}
--- a/pkg/isolator/entry.go
+++ b/pkg/isolator/entry.go
@@ -14,6 +14,17 @@
 	nextTrial time.Time
 	// changedAt is when the crashes last changed.
 	changedAt time.Time
+	// local is set if this host saw one of the crashes.
+	local bool
+	// storedSince is since when the platform's store is known to contain the request, zero
+	// if it does not. savedAt is when Unsaved last returned it.
+	storedSince, savedAt time.Time
+}
+
+// stored reports whether the store's word counts: it does until hosts know as much by
+// themselves, or of an answer.
+func (e *entry) stored() bool {
+	return !e.storedSince.IsZero() && e.ClearedAt.IsZero() && e.successive < minCrashes
 }
 
 // merge takes in another observation of the same request. It reports whether the crashes
@@ -68,7 +79,12 @@
 
 // isolatedUntil returns until when the request is isolated, the zero time if it was not.
 func (e *entry) isolatedUntil() time.Time {
-	if e.successive < minCrashes {
+	switch n := len(e.Crashes); {
+	case e.stored() && n == 0:
+		return e.storedSince.Add(isolationTime)
+	case e.stored():
+		return e.Crashes[n-1].CrashedAt.Add(isolationTime * isolationFactor)
+	case e.successive < minCrashes:
 		return time.Time{}
 	}
 	d := isolationTime
@@ -80,14 +96,22 @@
 
 // onTrial reports whether the request is tried by one host at a time, unless it is
 // isolated.
-func (e *entry) onTrial() bool { return len(e.Crashes) >= minCrashes }
+func (e *entry) onTrial() bool { return e.stored() || len(e.Crashes) >= minCrashes }
 
-// suspectedSince returns when the request was first suspected. It is to be called only if
-// there are crashes.
-func (e *entry) suspectedSince() time.Time { return e.Crashes[0].CrashedAt }
+// suspectedSince returns when the request was first suspected, as far as is known. It is to
+// be called only if it is on trial.
+func (e *entry) suspectedSince() time.Time {
+	if e.stored() {
+		return e.storedSince
+	}
+	return e.Crashes[0].CrashedAt
+}
 
 // expired reports whether the entry is no longer of use.
 func (e *entry) expired(now time.Time) bool {
+	if !e.storedSince.IsZero() {
+		return false
+	}
 	if len(e.Crashes) == 0 {
 		return now.Sub(e.ClearedAt) > clearedTime
 	}
@@ -97,6 +121,9 @@
 
 // lessImportant reports whether e is to be forgotten rather than o.
 func (e *entry) lessImportant(o *entry) bool {
+	if e.stored() != o.stored() {
+		return o.stored()
+	}
 	if len(e.Crashes) != len(o.Crashes) {
 		return len(e.Crashes) < len(o.Crashes)
 	}
@@ -112,7 +139,9 @@
 
 // age makes the entry older.
 func (e *entry) age(d time.Duration) {
-	e.ClearedAt = e.ClearedAt.Add(-d)
+	if !e.ClearedAt.IsZero() {
+		e.ClearedAt = e.ClearedAt.Add(-d)
+	}
 	for i := range e.Crashes {
 		e.Crashes[i].SentAt = e.Crashes[i].SentAt.Add(-d)
 		e.Crashes[i].CrashedAt = e.Crashes[i].CrashedAt.Add(-d)
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -12,7 +12,8 @@
 //
 // The caller passes crashes to RecordCrash and answers to RecordAnswer, asks Admit before
 // each send, and passes what other hosts sent to Observe and the result of Due to them in
-// every round of messages.
+// every round of messages. As all hosts may be restarted at once, it writes what Unsaved
+// returns to the platform's store, and passes what the store contains to SetStored.
 package isolator
 
 import (
@@ -154,6 +155,11 @@
 // RecordCrash records that a target crashed that had the request.
 func (s *Isolator) RecordCrash(f fingerprinter.Fingerprint, c Crash) {
 	s.Observe(Observation{Fingerprint: f, Crashes: []Crash{c}})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.entries[f]; e != nil {
+		e.local = true
+	}
 }
 
 // RecordAnswer records that a target ran the request and answered it.
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -170,3 +170,40 @@
 		is.True(s.Empty())
 	})
 }
+
+// A host that has just started isolates what the store contains, for a while; then it
+// tries it, and an answer counts more than the store.
+func TestStoredRequestsAreIsolated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var old, started isolator.Isolator
+		is.Equal(len(old.Unsaved()), 0)
+		for run := range 3 {
+			crash(&old, deadly, run, time.Millisecond)
+			time.Sleep(time.Second)
+		}
+		stored := old.Unsaved()
+		is.Equal(stored, []fingerprinter.Fingerprint{deadly})
+		is.Equal(len(old.Unsaved()), 0) // it is being written
+		started.SetStored(stored)
+		started.Age(time.Nanosecond)
+		v, wait := started.Admit(deadly)
+		is.Equal(v, isolator.Isolated)
+		time.Sleep(wait)
+		is.Equal(verdict(&started, deadly), isolator.Allowed)
+		is.Equal(verdict(&started, deadly), isolator.Deferred)
+		crash(&started, deadly, 9, time.Millisecond)
+		v, second := started.Admit(deadly)
+		is.Equal(v, isolator.Isolated)
+		is.True(second > 2*wait)
+		time.Sleep(second)
+		is.Equal(verdict(&started, deadly), isolator.Allowed)
+		started.RecordAnswer(deadly)
+		started.SetStored(stored)
+		is.Equal(verdict(&started, deadly), isolator.Allowed)
+		started.SetStored(nil)
+		time.Sleep(time.Minute)
+		started.Due()
+		is.True(started.Empty())
+	})
+}
--- a/service/gatewayhost/updates.go
+++ b/service/gatewayhost/updates.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/apex/log"
 
+	"gypsumbeam.example/gypsumbeam/pkg/fingerprinter"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
 	"gypsumbeam.example/gypsumbeam/pkg/lister"
 	"gypsumbeam.example/gypsumbeam/pkg/registrar"
@@ -54,6 +55,12 @@
 	}
 }
 
+// SetIsolated replaces the requests that the platform's store contains as isolated.
+func (h *Host) SetIsolated(all []fingerprinter.Fingerprint) { h.isolator.SetStored(all) }
+
+// UnsavedIsolated returns isolated requests that are to be written to the platform's store.
+func (h *Host) UnsavedIsolated() []fingerprinter.Fingerprint { return h.isolator.Unsaved() }
+
 // SetHosts replaces the registered entry hosts.
 func (h *Host) SetHosts(all []lister.Host) {
 	h.lister.SetHosts(all, h.broadcaster.Available())
