--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -191,6 +191,12 @@
 		res.outcome.Failed = true
 		closeConnection(resp)
 		return res
+	case info.NotRun && !info.IDMatch:
+		// It may be an earlier response, written once more on this connection.
+		res.reason = "notItsAnswer"
+		res.outcome = balancer.Result{Failed: true}
+		closeConnection(resp)
+		return res
 	case info.NotRun:
 		res.reason = "notRun"
 		res.notRun = true
