--- a/pkg/fingerprinter/fingerprinter.go
+++ b/pkg/fingerprinter/fingerprinter.go
@@ -2,7 +2,7 @@
 // request that callers send again and again, with another ID and at any host.
 //
 // The body of a request is seldom known when the rest of it is. So a fingerprint has two
-// parts: Head makes the first one, and WithBody adds the second.
+// parts, which Head and Body compute.
 package fingerprinter
 
 import (
--- a/pkg/isolator/entry.go
+++ b/pkg/isolator/entry.go
@@ -37,7 +37,7 @@
 	known := e.uncleared(e.Crashes)
 	all := slices.Concat(known, e.uncleared(o.Crashes))
 	chain := successive(all)
-	if old := successive(known); len(chain) <= len(old) {
+	if old := successive(known); !extends(chain, old) {
 		chain = old // the same crash, as told by another host, has slightly other times
 	}
 	e.successive = len(chain)
@@ -55,14 +55,25 @@
 	return slices.DeleteFunc(slices.Clone(all), func(c Crash) bool { return !c.CrashedAt.After(e.ClearedAt) })
 }
 
+// extends reports whether a chain has another crash than old, which is a beginning of it or
+// has maxCrashes too.
+func extends(chain, old []Crash) bool {
+	n := len(chain)
+	if n != len(old) || n < maxCrashes {
+		return n > len(old)
+	}
+	return chain[n-1].SentAt.Sub(old[n-1].CrashedAt) >= minGap
+}
+
 // successive returns crashes of which each one's request was sent after the one before, as
-// many as there are, but at most maxCrashes.
+// many as there are. If there are more than maxCrashes, the last one is the latest.
 func successive(crashes []Crash) []Crash {
 	var chain []Crash
 	for _, c := range slices.SortedFunc(slices.Values(crashes), func(a, b Crash) int { return a.CrashedAt.Compare(b.CrashedAt) }) {
-		if len(chain) < maxCrashes && follows(c, chain) {
-			chain = append(chain, c)
+		if !follows(c, chain) {
+			continue
 		}
+		chain = append(chain[:min(len(chain), maxCrashes-1)], c)
 	}
 	return chain
 }
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -115,6 +115,24 @@
 	})
 }
 
+// However often a request that is tried crashes a target, it is isolated again, and for a
+// bounded time.
+func TestIsolationGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var s isolator.Isolator
+		for run := range 30 {
+			crash(&s, deadly, run, time.Millisecond)
+			time.Sleep(time.Second)
+			v, wait := s.Admit(deadly)
+			is.Equal(v == isolator.Isolated, run >= 2)
+			is.True(wait < 24*time.Hour)
+			time.Sleep(wait)
+			is.Equal(len(s.Due()) > 0, true)
+		}
+	})
+}
+
 // Of many hosts, one at a time tries a suspected request, and others have their turns.
 func TestOneHostTries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
