--- a/service/gateway/cut_test.go
+++ b/service/gateway/cut_test.go
@@ -20,10 +20,8 @@
 }
 
 func (d *cutTarget) dial(context.Context, string) (net.Conn, error) {
-	client, server := net.Pipe()
-	go func() {
-		defer func() { _ = server.Close() }() // the caller may have closed it
-		req, err := http.ReadRequest(bufio.NewReader(server))
+	return pipeTo(func(c net.Conn) {
+		req, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
 			return // the caller only asks whether the target listens
 		}
@@ -31,9 +29,8 @@
 			return
 		}
 		d.requests.Add(1)
-		_, _ = io.WriteString(server, d.beginning) // the caller may have closed it
-	}()
-	return client, nil
+		_, _ = io.WriteString(c, d.beginning) // the caller may have closed it
+	}), nil
 }
 
 // Wherever in the head of its response or in its body a target stops and closes, no caller
--- a/service/gateway/duplicate_test.go
+++ b/service/gateway/duplicate_test.go
@@ -22,13 +22,20 @@
 }
 
 func (d *duplicatingTarget) dial(context.Context, string) (net.Conn, error) {
+	return pipeTo(func(c net.Conn) { d.serve(c, d.conns.Add(1) == 1) }), nil
+}
+
+// pipeTo returns a connection whose other end is served by serve and then closed.
+func pipeTo(serve func(c net.Conn)) net.Conn {
 	client, server := net.Pipe()
-	go d.serve(server, d.conns.Add(1) == 1)
-	return client, nil
+	go func() {
+		defer func() { _ = server.Close() }() // the caller may have closed it
+		serve(server)
+	}()
+	return client
 }
 
 func (d *duplicatingTarget) serve(c net.Conn, duplicate bool) {
-	defer func() { _ = c.Close() }() // the caller may have closed it
 	r := bufio.NewReader(c)
 	last := ""
 	for n := 0; ; n++ {
--- a/service/gateway/repeated_test.go
+++ b/service/gateway/repeated_test.go
@@ -22,13 +22,10 @@
 }
 
 func (d *repeatingTarget) dial(context.Context, string) (net.Conn, error) {
-	client, server := net.Pipe()
-	go d.serve(server, d.conns.Add(1) == 1)
-	return client, nil
+	return pipeTo(func(c net.Conn) { d.serve(c, d.conns.Add(1) == 1) }), nil
 }
 
 func (d *repeatingTarget) serve(c net.Conn, faulty bool) {
-	defer func() { _ = c.Close() }() // the caller may have closed it
 	r := bufio.NewReader(c)
 	for n := 0; ; n++ {
 		req, err := http.ReadRequest(r)
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -5,10 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"gypsumbeam.example/gypsumbeam/pkg/balancer"
@@ -16,9 +14,6 @@
 )
 
 const (
-	// maxBufferedBytes is the longest response body that is read completely before it
-	// is passed on, so that the request can be retried if the response is truncated.
-	maxBufferedBytes = 64 << 10
 	// retryAfterNoTarget is the Retry-After time if no target could take the request.
 	retryAfterNoTarget = 200 * time.Millisecond
 	// maxReplayBytes is how much of a request body is kept for a retry.
@@ -170,174 +165,6 @@
 	return res
 }
 
-// exchange sends the request and classifies the response. A response is passed on only
-// if it provably belongs to this request: a successful one needs the target's stamp and
-// this request's ID.
-func (q *request) exchange(ctx context.Context, c *balancer.Choice) *result {
-	resp, wrote, err := q.h.cfg.Sender.Do(ctx, c.Address, q.targetRequest(ctx, c)) //nolint:bodyclose // attempt closes the body
-	if err != nil {
-		return q.failure(ctx, wrote)
-	}
-	info := q.h.cfg.HeaderCodec.ReadResponse(resp.StatusCode, resp.Header, q.info.ID)
-	res := &result{resp: resp, limit: c.ObserveLimit(info.Limit)}
-	res.outcome = balancer.Result{
-		Load: info.Load, HasLoad: info.HasLoad, ColdTimeLeft: info.ColdTimeLeft, Leaving: info.Leaving, RetryAfter: info.RetryAfter,
-	}
-	success := resp.StatusCode >= 200 && resp.StatusCode < 300
-	switch {
-	case info.IDMismatch, success && (!info.Stamped || !info.IDMatch), resp.Header.Get("Content-Encoding") != "",
-		resp.StatusCode < http.StatusOK:
-		res.reason = "notItsAnswer"
-		res.outcome.Failed = true
-		closeConnection(resp)
-		return res
-	case info.NotRun && !info.IDMatch:
-		// It may be an earlier response, written once more on this connection.
-		res.reason = "notItsAnswer"
-		res.outcome = balancer.Result{Failed: true}
-		closeConnection(resp)
-		return res
-	case info.NotRun:
-		res.reason = "notRun"
-		res.notRun = true
-		res.outcome.Shed = !info.AddressReused
-		res.outcome.AddressReused = info.AddressReused
-		return res
-	case impliesNotRun(resp.StatusCode):
-		// The status would tell the caller that the request did not run, but the target
-		// did not say so.
-		res.reason = "promiseNotKept"
-		res.outcome.Failed = true
-		return res
-	}
-	return q.readBody(res)
-}
-
-// connCloser is a response body that can close its connection.
-type connCloser interface{ CloseConnection() }
-
-// closeConnection closes the connection of a response that belongs to another request,
-// as later responses on it would be mismatched too.
-func closeConnection(resp *http.Response) {
-	if b, ok := resp.Body.(connCloser); ok {
-		b.CloseConnection()
-	}
-}
-
-// impliesNotRun reports whether a status tells the caller that the request did not run.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable,
-		http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	default:
-		return false
-	}
-}
-
-// readBody reads the body of a response of up to maxBufferedBytes; longer ones are
-// streamed.
-func (q *request) readBody(res *result) *result {
-	res.reason = "answered"
-	res.outcome.Answered = res.resp.StatusCode < http.StatusInternalServerError
-	res.outcome.Failed = !res.outcome.Answered
-	res.usable = true
-	if res.resp.ContentLength > maxBufferedBytes {
-		res.stream = true
-		return res
-	}
-	body, err := io.ReadAll(io.LimitReader(res.resp.Body, maxBufferedBytes+1))
-	res.body = body
-	res.outcome.ResponseKiB = float64(len(body)) / 1024
-	switch {
-	case err != nil:
-		res.usable = false
-		res.reason = "brokenOff"
-		res.outcome = balancer.Result{Failed: true, Leaving: res.outcome.Leaving, RetryAfter: res.outcome.RetryAfter}
-	case len(body) > maxBufferedBytes:
-		res.stream = true
-	}
-	return res
-}
-
-// failure classifies an attempt that got no response.
-func (q *request) failure(ctx context.Context, wrote bool) *result {
-	res := &result{notRun: !wrote, reason: "noAnswer"}
-	switch {
-	case q.body.TooLarge():
-		res.reason = "bodyTooLarge"
-	case q.body.Broken():
-		res.reason = "bodyBroken"
-	case errors.Is(ctx.Err(), context.Canceled):
-		res.reason = "callerGone"
-	case ctx.Err() != nil:
-		res.reason = "timeout"
-		res.outcome.Failed = wrote
-		res.outcome.Unreachable = !wrote
-	default:
-		res.outcome.Unreachable = !wrote
-		res.outcome.Failed = wrote
-	}
-	return res
-}
-
-// hopByHop lists the header fields that apply to one connection and are not forwarded.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
-// endToEnd returns a copy of a header without its hop-by-hop fields.
-func endToEnd(src http.Header) http.Header {
-	h := src.Clone()
-	for _, list := range src.Values("Connection") {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
-	return h
-}
-
-// targetRequest returns the request to send to one target.
-func (q *request) targetRequest(ctx context.Context, c *balancer.Choice) *http.Request {
-	header := endToEnd(q.r.Header)
-	remaining := q.record.Timeout - time.Since(q.start)
-	info := ForwardInfo{Target: c.Target, Timeout: remaining}
-	if q.ws != nil {
-		info.Workspace = q.ws.Name
-	}
-	q.h.cfg.HeaderCodec.WriteForward(header, info)
-	if _, ok := header["User-Agent"]; !ok {
-		header["User-Agent"] = []string{""} // keeps net/http from adding its own
-	}
-	u := &url.URL{Scheme: "http", Host: c.Address, Opaque: requestTarget(q.r.RequestURI)}
-	r := &http.Request{
-		Method: q.r.Method, URL: u, Host: q.r.Host, Header: header,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: q.r.ContentLength,
-	}
-	if q.r.ContentLength != 0 {
-		r.Body = q.body.NewReader()
-	} else if !q.route.Kind.Idempotent() {
-		// A non-nil body keeps net/http from retrying the request by itself.
-		r.Body = q.body.NewReader()
-	}
-	return r.WithContext(ctx)
-}
-
-// requestTarget returns a request's path and query as the caller sent them.
-func requestTarget(uri string) string {
-	if strings.HasPrefix(uri, "/") {
-		return uri
-	}
-	if u, err := url.ParseRequestURI(uri); err == nil {
-		return u.RequestURI()
-	}
-	return "/"
-}
-
 // writeResponse passes a target's response on to the caller.
 func (q *request) writeResponse(res *result) {
 	header := q.w.Header()
