--- a/service/gateway/cut_test.go
+++ b/service/gateway/cut_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
 )
@@ -45,13 +46,13 @@
 		"in chunks":      head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
 		"without length": head + "Connection: close\r\n\r\n",
 	} {
-		t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
 			for cut := range len(response) {
 				is := is.New(t)
 				target := &cutTarget{beginning: response[:cut]}
 				h, _, closeAll := newSingleTargetHandler(target.dial)
 				if sendComplete(h) {
-					t.Errorf("a response that ends after %q looks complete", response[max(0, cut-20):cut])
+					t.Errorf("%s: a response that ends after %q looks complete", name, response[max(0, cut-20):cut])
 				}
 				is.Equal(target.requests.Load(), int64(1))
 				closeAll()
@@ -61,7 +62,7 @@
 				h, _, closeAll := newSingleTargetHandler(target.dial)
 				defer closeAll()
 				if !sendComplete(h) {
-					t.Error("the whole response was not passed on")
+					t.Errorf("%s: the whole response was not passed on", name)
 				}
 			}
 		})
--- a/service/gateway/repeated_test.go
+++ b/service/gateway/repeated_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
 )
@@ -63,19 +64,21 @@
 		"not marked":          "HTTP/1.1 503 Service Unavailable\r\n" + end,
 	} {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			target := &repeatingTarget{refusal: refusal}
-			h, _, closeAll := newSingleTargetHandler(target.dial)
-			defer closeAll()
-			for i := range 4 {
-				before := target.runs.Load()
-				status := call(h, http.MethodPost, "/pay/1", "order", "Id", fmt.Sprint("id-", i)).Code
-				ran := target.runs.Load() - before
-				is.True(ran <= 1)
-				if ran > 0 {
-					is.True(status == http.StatusOK || status == http.StatusBadGateway)
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				target := &repeatingTarget{refusal: refusal}
+				h, _, closeAll := newSingleTargetHandler(target.dial)
+				defer closeAll()
+				for i := range 4 {
+					before := target.runs.Load()
+					status := call(h, http.MethodPost, "/pay/1", "order", "Id", fmt.Sprint("id-", i)).Code
+					ran := target.runs.Load() - before
+					is.True(ran <= 1)
+					if ran > 0 {
+						is.True(status == http.StatusOK || status == http.StatusBadGateway)
+					}
 				}
-			}
+			})
 		})
 	}
 }
