--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -154,12 +154,10 @@
 
 // RecordCrash records that a target crashed that had the request.
 func (s *Isolator) RecordCrash(f fingerprinter.Fingerprint, c Crash) {
-	s.Observe(Observation{Fingerprint: f, Crashes: []Crash{c}})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e := s.entries[f]; e != nil {
-		e.local = true
-	}
+	s.observe(Observation{Fingerprint: f, Crashes: []Crash{c}})
+	s.entries[f].local = true
 }
 
 // RecordAnswer records that a target ran the request and answered it.
@@ -169,9 +167,14 @@
 
 // Observe takes in what another host knows.
 func (s *Isolator) Observe(o Observation) {
-	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.observe(o)
+}
+
+// observe takes in an observation. The caller holds the lock.
+func (s *Isolator) observe(o Observation) {
+	now := time.Now()
 	e := s.entries[o.Fingerprint]
 	if e == nil {
 		if len(o.Crashes) == 0 {
--- a/pkg/replayer/replayer.go
+++ b/pkg/replayer/replayer.go
@@ -74,8 +74,9 @@
 	return r.err != nil && !errors.Is(r.err, io.EOF)
 }
 
-// Kept returns the whole body, or the first prefixSize bytes of one that fills the buffer. It returns false if the body was not read so far, or while a Read of a reader
-// is waiting for the source.
+// Kept returns the whole body, or the first prefixSize bytes of one that fills the buffer.
+// It returns false if the body was not read so far, or while a Read of a reader is waiting
+// for the source.
 func (r *Replayer) Kept() ([]byte, bool) {
 	if !r.mu.TryLock() {
 		return nil, false
