--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -14,6 +14,10 @@
 // wait.
 const bufferBytes = 256 << 10
 
+// maxSegmentBytes is the size of the pieces in which longer writes pass the links, so that
+// other connections' data passes between them.
+const maxSegmentBytes = 16 << 10
+
 // conn is one end of a connection.
 type conn struct {
 	network    *Network
@@ -117,7 +121,7 @@
 }
 
 func (s *stream) closeWrite() {
-	at := time.Now().Add(s.network.delay(s.from, s.to))
+	at := s.network.arrival(s.from, s.to, 0)
 	s.update(func() {
 		s.writeClosed = true
 		s.eofAt = at
@@ -208,8 +212,19 @@
 	return n
 }
 
+// write sends b in segments.
 func (s *stream) write(b []byte) (int, error) {
-	arrivesAt := time.Now().Add(s.network.delay(s.from, s.to))
+	written := 0
+	for {
+		n, err := s.writeSegment(b[written:min(len(b), written+maxSegmentBytes)])
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+func (s *stream) writeSegment(b []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for {
@@ -221,7 +236,8 @@
 		case expired(s.writeDeadline, time.Now()):
 			return 0, os.ErrDeadlineExceeded
 		case s.buffered < bufferBytes:
-			s.segments = append(s.segments, segment{data: append([]byte(nil), b...), arrivesAt: arrivesAt})
+			at := s.network.arrival(s.from, s.to, len(b))
+			s.segments = append(s.segments, segment{data: append([]byte(nil), b...), arrivesAt: at})
 			s.buffered += len(b)
 			if s.changed != nil {
 				close(s.changed)
--- a/internal/memnet/network.go
+++ b/internal/memnet/network.go
@@ -29,6 +29,10 @@
 	frozen      map[string]bool
 	conns       map[*conn]bool
 	changed     chan struct{}
+	// bandwidth returns the capacity of a host's link; nil means that all are unlimited.
+	bandwidth func(host string) Bandwidth
+	// outgoing and incoming tell until when the links are occupied.
+	outgoing, incoming queues
 }
 
 // link is one direction between two IP addresses.
@@ -96,7 +100,7 @@
 // awaitDelivery waits until a packet that is sent now would arrive: for the delay,
 // and then while the link is blocked. It returns ctx's error if ctx ends before.
 func (n *Network) awaitDelivery(ctx context.Context, from, to string) error {
-	t := time.NewTimer(n.delay(from, to))
+	t := time.NewTimer(time.Until(n.arrival(from, to, handshakeBytes)))
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/internal/memnet/packet.go
+++ b/internal/memnet/packet.go
@@ -65,7 +65,7 @@
 		return 0, err
 	}
 	d := datagram{addr(c.address), append([]byte(nil), p...)}
-	time.AfterFunc(c.network.delay(c.ip, ip), func() { c.network.deliver(link{c.ip, ip}, to.String(), d) })
+	time.AfterFunc(time.Until(c.network.arrival(c.ip, ip, len(p))), func() { c.network.deliver(link{c.ip, ip}, to.String(), d) })
 	return len(p), nil
 }
 
