platform/watcher: a repair reads what is missing, from whoever has it, and no confirmation reads the document

What callers saw: on a fleet of 89 hosts requests reached targets up to 3.5 s after these had said that they leave (bound 3 s), two thirds of the callers were late for ten seconds, and the operators' writes were acknowledged after 3.4 s, each time the document had grown to 4,200 routes.

Cause: a host read the whole document (1 MB, 0.9 s of a link of 10 Mbit/s) to confirm its configuration; who fell behind began to read it anew, or read everything. All asked at once as confirmations grew old, so that the links stayed full for seconds and what told of leaving targets waited behind. Evidence: the bytes received are the sum of the links' capacities, no call was refused, the reading hosts log deadlines. Ruled out: a store that turns hosts away (no refusal), a choice before the host knew (its revision was older), processor time (11% at most).

--- a/pkg/gatewaysettings/gatewaysettings.go
+++ b/pkg/gatewaysettings/gatewaysettings.go
@@ -62,6 +62,10 @@
 type Bounds struct {
 	// Revoke is the time within which a revoked key must stop working.
 	Revoke string `json:"revoke"`
+	// Drain is the time after which a target that leaves must get no more requests, and
+	// Apply the time within which a new version of the document must be in force.
+	Drain string `json:"drain"`
+	Apply string `json:"apply"`
 	// Grace is the time from the stop signal until the process is killed.
 	Grace string `json:"grace"`
 	// LookupTTL is the longest time that callers cache the answer to a look-up.
@@ -79,6 +83,7 @@
 // Defaults of Bounds.
 const (
 	defaultRevoke     = 5 * time.Second
+	defaultFollow     = 3 * time.Second
 	defaultGrace      = 6 * time.Second
 	defaultLookupTTL  = 2 * time.Second
 	defaultRetryRatio = 0.1
@@ -147,6 +152,12 @@
 // RevocationTime returns the time within which a revoked key must stop working.
 func (b Bounds) RevocationTime() time.Duration { return durationOr(b.Revoke, defaultRevoke) }
 
+// FollowTime returns the time within which hosts must follow targets that leave and new
+// versions of the document.
+func (b Bounds) FollowTime() time.Duration {
+	return min(durationOr(b.Drain, defaultFollow), durationOr(b.Apply, defaultFollow))
+}
+
 // GracePeriod returns the time from the stop signal until the process is killed.
 func (b Bounds) GracePeriod() time.Duration { return durationOr(b.Grace, defaultGrace) }
 
--- a/pkg/tracker/tracker.go
+++ b/pkg/tracker/tracker.go
@@ -34,11 +34,17 @@
 	reached  bool
 	// pending holds the proofs that the view has not reached, ascending in both fields.
 	pending []proof
+	// proved is the time of the latest proof, reached or not, if known is set.
+	proved confirmer.Timestamp
+	known  bool
 }
 
 // Prove records that all changes that the store acknowledged before at are in its
 // history up to position.
 func (t *Tracker) Prove(position ids.Position, at confirmer.Timestamp) {
+	if !t.known || at.Since(t.proved) > 0 {
+		t.proved, t.known = at, true
+	}
 	if !t.position.Before(position) {
 		t.accept(at)
 		return
@@ -75,6 +81,10 @@
 	}
 }
 
+// ProvedAt returns the time of the latest proof, which the view may not have reached, and
+// false if there is none.
+func (t *Tracker) ProvedAt() (confirmer.Timestamp, bool) { return t.proved, t.known }
+
 // CompleteAt returns the time before which no acknowledged change is missing from the
 // view, and false if there is no such time.
 func (t *Tracker) CompleteAt() (confirmer.Timestamp, bool) { return t.complete, t.reached }
--- a/service/gateway/fuzz_test.go
+++ b/service/gateway/fuzz_test.go
@@ -68,6 +68,7 @@
 		HeaderCodec: testCodec{}, RouterSource: env, Confirmer: env, Balancer: lb, RateLimiter: env, Sender: sender,
 		RetryBudget: &retrier.Budget{}, Recorder: env,
 		MaxConfirmationAge: func() time.Duration { return maxConfirmationAge },
+		Outdated:           func() bool { return false },
 		RetryRatio:         func() float64 { return 1 },
 	})
 	return h, lb, sender.Close
--- a/service/gateway/gateway_test.go
+++ b/service/gateway/gateway_test.go
@@ -169,6 +169,7 @@
 			HeaderCodec: testCodec{}, RouterSource: env, Confirmer: env, Balancer: lb, RateLimiter: env, Sender: env.sender,
 			RetryBudget: &retrier.Budget{}, Recorder: env,
 			MaxConfirmationAge: func() time.Duration { return maxConfirmationAge },
+			Outdated:           func() bool { return false },
 			RetryRatio:         func() float64 { return 1 },
 		}))
 	})
--- a/service/gateway/handler.go
+++ b/service/gateway/handler.go
@@ -41,6 +41,9 @@
 	// confirmation. Later, requests are rejected with status 503, as their keys may
 	// have been withdrawn.
 	MaxConfirmationAge func() time.Duration
+	// Outdated reports whether changes of the configuration or of targets are known to be
+	// missing that must be followed now. Requests are rejected with status 503 then.
+	Outdated func() bool
 	// RetryRatio returns the share of a service's requests that may be retried.
 	RetryRatio func() float64
 }
@@ -115,8 +118,8 @@
 	}
 	q.record.ConfigVersion = q.router.Version
 	q.record.ConfirmationAge, _ = q.h.cfg.Confirmer.Age()
-	if !q.confirmed() {
-		return &rejection{http.StatusServiceUnavailable, "unconfirmed", retryAfterNotReady}
+	if reason := q.staleness(); reason != "" {
+		return &rejection{http.StatusServiceUnavailable, reason, retryAfterNotReady}
 	}
 	if rej := q.validate(); rej != nil {
 		return rej
@@ -136,11 +139,18 @@
 	return q.admit()
 }
 
-// confirmed reports whether the configuration was confirmed recently enough to be
-// relied on.
-func (q *request) confirmed() bool {
+// staleness returns the reason why what this host knows cannot be relied on now, or an empty
+// string if it can.
+func (q *request) staleness() string {
 	age, ok := q.h.cfg.Confirmer.Age()
-	return ok && age < q.h.cfg.MaxConfirmationAge()
+	switch {
+	case !ok || age >= q.h.cfg.MaxConfirmationAge():
+		return "unconfirmed"
+	case q.h.cfg.Outdated():
+		return "outdated"
+	default:
+		return ""
+	}
 }
 
 func (q *request) validate() *rejection {
@@ -195,18 +205,21 @@
 	return nil
 }
 
-// stillAuthorised reports whether the request may still be sent: its key is valid in
-// the current configuration, and that configuration is confirmed.
-func (q *request) stillAuthorised() bool {
-	if !q.confirmed() {
-		return false
+// mayStillSend returns the reason why the request may not be sent any longer, or an empty
+// string if it may: what this host knows can be relied on, and the key is valid in the
+// current configuration.
+func (q *request) mayStillSend() string {
+	if reason := q.staleness(); reason != "" {
+		return reason
 	}
 	current := q.h.cfg.RouterSource.Router()
 	if current == q.router || q.ws == nil {
-		return true
+		return ""
+	}
+	if ws := current.WorkspaceByKey(q.info.Key); ws == nil || ws.Name != q.ws.Name {
+		return "unconfirmed"
 	}
-	ws := current.WorkspaceByKey(q.info.Key)
-	return ws != nil && ws.Name == q.ws.Name
+	return ""
 }
 
 // reject writes a rejection to the caller and records it.
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -61,9 +61,9 @@
 			pickErr = err
 			break
 		}
-		if !q.stillAuthorised() {
+		if reason := q.mayStillSend(); reason != "" {
 			choice.Done(balancer.Result{})
-			q.giveUp(ctx, notRun, "unconfirmed", retryAfterNotReady)
+			q.giveUp(ctx, notRun, reason, retryAfterNotReady)
 			return
 		}
 		res := q.attempt(ctx, choice)
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -59,6 +59,9 @@
 
 // Bounds are the operators' requirements. They may change while the host runs.
 type Bounds struct {
+	// FollowTime is the time within which changes must be followed: targets that leave and
+	// new versions of the document.
+	FollowTime time.Duration
 	// RevocationTime is the time within which a withdrawn key stops working, and
 	// GracePeriod the time that a graceful shutdown may take.
 	RevocationTime, GracePeriod time.Duration
@@ -87,13 +90,20 @@
 	// Bounds are the initial bounds.
 	Bounds Bounds
 	// State tells how far this host has followed the platform's store.
-	State siblings.State
+	State State
 	// Conn carries the datagrams between hosts. Stop closes it.
 	Conn net.PacketConn
 	// Dial opens a connection to a target; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
+// State is this host's view of the platform's store.
+type State interface {
+	siblings.State
+	// Outdated reports whether changes are known to be missing that must be followed now.
+	Outdated() bool
+}
+
 // Host is one gateway host. Its Set, Put and Remove methods may be called before Start.
 type Host struct {
 	cfg         Config
@@ -141,7 +151,7 @@
 	h.handler = gateway.New(gateway.Config{
 		HeaderCodec: cfg.HeaderCodec, RouterSource: h, Confirmer: cfg.Confirmer, Balancer: h.balancer, RateLimiter: &h.throttler,
 		Sender: h.sender, RetryBudget: &h.budget, Isolator: &h.isolator, Recorder: h.recorder,
-		MaxConfirmationAge: h.MaxConfirmationAge, RetryRatio: func() float64 { return h.bounds.Load().RetryRatio },
+		MaxConfirmationAge: h.MaxConfirmationAge, Outdated: cfg.State.Outdated, RetryRatio: func() float64 { return h.bounds.Load().RetryRatio },
 	})
 	h.broadcaster = siblings.New(siblings.Config{
 		Self: cfg.Self, Conn: cfg.Conn, Hosts: h.lister.Hosts, Ready: h.Ready, State: cfg.State,
@@ -187,6 +197,13 @@
 	return revoke - min(confirmationMargin, revoke/2)
 }
 
+// FollowTime returns the time within which changes must be followed.
+func (h *Host) FollowTime() time.Duration { return h.bounds.Load().FollowTime }
+
+// Available returns the hosts that are heard from and accept callers, by their addresses
+// for callers.
+func (h *Host) Available() map[string]bool { return h.broadcaster.Available() }
+
 // hostShare returns this host's share of a limit that applies to all hosts together.
 func (h *Host) hostShare() float64 { return 1 / float64(max(h.lister.Count(), 1)) }
 
@@ -254,11 +271,11 @@
 	h.apportioner.forget(limited)
 }
 
-// Ready reports whether this host accepts callers: it has a confirmed configuration and
-// is not draining.
+// Ready reports whether this host accepts callers: it has a confirmed configuration, misses
+// no change that must be followed now, and is not draining.
 func (h *Host) Ready() bool {
 	age, ok := h.cfg.Confirmer.Age()
-	return !h.draining.Load() && h.router.Load() != nil && ok && age < h.MaxConfirmationAge()
+	return !h.draining.Load() && h.router.Load() != nil && ok && age < h.MaxConfirmationAge() && !h.cfg.State.Outdated()
 }
 
 // Lister returns the list of entry hosts that look-ups are answered from.
--- a/service/siblings/receive.go
+++ b/service/siblings/receive.go
@@ -51,30 +51,24 @@
 	}
 }
 
-// observe takes over what the sender knows of the store, and its confirmation that the
-// configuration is the newest. The position comes first: this host tells others of its
-// position and its confirmation together.
+// observe takes over what the sender knows of the store.
 func (b *Broadcaster) observe(m *message) {
-	at, ok := b.confirmedAt(m)
-	b.cfg.State.ObservePeer(m.Version, m.position(), at)
-	if ok && b.cfg.State.ConfirmedBy(m.Version, m.position()) {
-		b.cfg.Confirmer.Confirm(at)
-	}
+	b.cfg.State.ObservePeer(m.Version, m.position(), b.provenAt(m))
 }
 
-// confirmedAt returns when the sender's configuration was confirmed to be the newest, and
-// false if that is not known. The message was sent later than the message of this host
-// that it echoes, by at least the echo delay. So its age as computed by this host's own
-// clock is never too low.
-func (b *Broadcaster) confirmedAt(m *message) (confirmer.Timestamp, bool) {
-	if m.ConfirmationAge < 0 || m.EchoDelay < 0 || m.Version == 0 {
-		return confirmer.Timestamp{}, false
+// provenAt returns when the store was proved to be no further than the sender's position, or
+// the zero Timestamp if that is not known. The message was sent later than the message of
+// this host that it echoes, by at least the echo delay. So its age as computed by this
+// host's own clock is never too low.
+func (b *Broadcaster) provenAt(m *message) confirmer.Timestamp {
+	if m.ProofAge < 0 || m.EchoDelay < 0 {
+		return confirmer.Timestamp{}
 	}
 	echoTime := m.EchoSentAt + m.EchoDelay
 	if m.EchoSentAt < b.clockOrigin || echoTime > b.clock() {
-		return confirmer.Timestamp{}, false // It echoes a message of another process.
+		return confirmer.Timestamp{} // It echoes a message of another process.
 	}
-	return b.startedAt.Add(time.Duration(echoTime - m.ConfirmationAge - b.clockOrigin)), true
+	return b.startedAt.Add(time.Duration(echoTime - m.ProofAge - b.clockOrigin))
 }
 
 // update is the content of an accepted section.
--- a/service/siblings/siblings.go
+++ b/service/siblings/siblings.go
@@ -1,7 +1,7 @@
 // Package siblings exchanges state between sibling entry hosts in UDP datagrams: their
-// in-flight requests at targets, their usage of each workspace's rate limit, and how
-// recently their configuration was confirmed to be the newest. Datagrams may be lost, as
-// each one carries the current state, or counts since the start.
+// in-flight requests at targets, their usage of each workspace's rate limit, and how far
+// the platform's store was when. Datagrams may be lost, as each one carries the current
+// state, or counts since the start.
 //
 // In a fleet of up to 16 hosts each host sends to every other one. In a larger one, the
 // hosts of an availability zone send reports to the zone's leader, which sends their sum
@@ -55,16 +55,12 @@
 	// Version returns the version of the configuration in force, or 0 if there is none.
 	Version() uint64
 	// Position returns the newest position of the store that this host knows of, by its
-	// own calls or by what ObservePeer was told. It includes all changes that the store
-	// acknowledged before the last confirmation.
-	Position() ids.Position
-	// ConfirmedBy reports whether the version in force is the newest one, given that another
-	// host at position at has confirmed version to be the newest.
-	ConfirmedBy(version uint64, at ids.Position) bool
-	// ObservePeer is called with the version and position of another host, which may be
-	// ahead of this one. All changes that the store acknowledged before provenAt are in
-	// its history up to position; the zero Timestamp means that this is not known of any
-	// time.
+	// own calls or by what ObservePeer was told, and when the store was last proved to be no
+	// further: all changes that it acknowledged before provenAt are in its history up to
+	// position. The zero Timestamp means that this is not known of any time.
+	Position() (position ids.Position, provenAt confirmer.Timestamp)
+	// ObservePeer is called with the version, position and proof of another host, which may
+	// be ahead of this one.
 	ObservePeer(version uint64, position ids.Position, provenAt confirmer.Timestamp)
 }
 
@@ -76,8 +72,9 @@
 	// Hosts returns the known hosts; this host may be among them.
 	Hosts func() []lister.Host
 	// Ready reports whether this host accepts callers.
-	Ready     func() bool
-	State     State
+	Ready func() bool
+	State State
+	// Confirmer is the clock of all proofs.
 	Confirmer *confirmer.Confirmer
 	Balancer  *balancer.Balancer
 	Throttler *throttler.Throttler
@@ -148,11 +145,10 @@
 
 // round is what this host sends in one round of messages.
 type round struct {
-	now          time.Time
-	message      message
-	confirmation confirmer.Timestamp
-	confirmed    bool
-	inFlight     []balancer.InFlight
+	now      time.Time
+	message  message
+	provenAt confirmer.Timestamp
+	inFlight []balancer.InFlight
 	// usages is set only if a message with usages is due.
 	usages []throttler.Usage
 	// observations is the encoded section of targets' limits and suspected requests; nil
@@ -164,15 +160,14 @@
 
 // Tick sends the messages that are due. It is to be called about every regionInterval.
 func (b *Broadcaster) Tick() {
-	// The confirmation is read before the version: if the version becomes newer in
-	// between, the confirmation still holds for it. All state is read before the lock
-	// is taken, because its owners call the Broadcaster while holding their own locks.
+	// All state is read before the lock is taken, because its owners call the Broadcaster
+	// while holding their own locks.
 	r := &round{now: time.Now()}
-	r.confirmation, r.confirmed = b.cfg.Confirmer.Last()
-	at := b.cfg.State.Position()
+	at, provenAt := b.cfg.State.Position()
+	r.provenAt = provenAt
 	r.message = message{
 		From: b.cfg.Self.Instance, Version: b.cfg.State.Version(), Era: at.Era, Revision: at.Revision,
-		Ready: b.cfg.Ready(), ConfirmationAge: -1,
+		Ready: b.cfg.Ready(), ProofAge: -1,
 	}
 	r.inFlight = b.cfg.Balancer.InFlight()
 	if limits, suspects := b.cfg.Balancer.Limits(), b.cfg.Isolator.Due(); len(limits)+len(suspects) > 0 {
@@ -233,7 +228,7 @@
 }
 
 // send sends the given sections to one host, together with the echo of that host's last
-// message and the age of the confirmation. The caller holds the lock.
+// message and the age of the proof. The caller holds the lock.
 func (b *Broadcaster) send(p *peer, r *round, sections ...cbor.RawMessage) {
 	m := r.message
 	m.Sections, m.EchoSentAt = sections, p.lastSentAt
@@ -243,10 +238,10 @@
 	if p.lastSentAt != 0 {
 		m.EchoDelay = int64(b.cfg.Confirmer.Now().Since(p.receivedAt))
 	}
-	if r.confirmed {
+	if !r.provenAt.IsZero() {
 		// This is taken after EchoDelay, because a suspension in between must make the
-		// confirmation older and not younger.
-		m.ConfirmationAge = int64(b.cfg.Confirmer.Now().Since(r.confirmation))
+		// proof older and not younger.
+		m.ProofAge = int64(b.cfg.Confirmer.Now().Since(r.provenAt))
 	}
 	data, err := cbor.Marshal(&m)
 	if err != nil {
--- a/service/siblings/wire.go
+++ b/service/siblings/wire.go
@@ -26,11 +26,11 @@
 	SentAt     int64
 	EchoSentAt int64
 	EchoDelay  int64
-	// Version is the sender's configuration version. ConfirmationAge is the time in
-	// nanoseconds since it was confirmed to be the newest; a negative value means
-	// never.
-	Version         uint64
-	ConfirmationAge int64
+	// Version is the sender's configuration version.
+	Version uint64
+	// ProofAge is the time in nanoseconds since the store was proved to be no further than
+	// Era and Revision; a negative value means never.
+	ProofAge int64
 	// Era and Revision are the newest position of the store that the sender knows of.
 	Era      ids.Era
 	Revision ids.StoreRevision
