--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -120,6 +120,9 @@
 	default:
 		res.outcome.Unreachable = !wrote
 		res.outcome.Failed = wrote
+		if !wrote {
+			res.reason = "unreachable"
+		}
 	}
 	return res
 }
