--- a/internal/memnet/network.go
+++ b/internal/memnet/network.go
@@ -26,6 +26,7 @@
 	// packetConns holds the open addresses for datagrams.
 	packetConns map[string]*packetConn
 	cut         map[link]bool
+	refused     map[link]bool
 	frozen      map[string]bool
 	conns       map[*conn]bool
 	changed     chan struct{}
@@ -73,6 +74,7 @@
 	}
 	n.mu.Lock()
 	l, ok := n.listeners[address]
+	ok = ok && !n.refused[link{from, to}]
 	n.mu.Unlock()
 	if err := n.awaitDelivery(ctx, to, from); err != nil {
 		return nil, err
@@ -164,6 +166,37 @@
 	n.notify()
 }
 
+// SetRefused makes new connections from one IP address to another be refused, or no longer.
+// Open ones are not affected.
+func (n *Network) SetRefused(from, to string, refused bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.refused == nil {
+		n.refused = make(map[link]bool)
+	}
+	n.refused[link{from, to}] = refused
+}
+
+// Reset resets the open connections between two hosts.
+func (n *Network) Reset(one, other string) {
+	n.reset(func(c *conn) bool { return (c.local == one && c.remote == other) || (c.local == other && c.remote == one) })
+}
+
+// reset resets the connections that match.
+func (n *Network) reset(match func(c *conn) bool) {
+	n.mu.Lock()
+	var resetting []*conn
+	for c := range n.conns {
+		if match(c) {
+			resetting = append(resetting, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range resetting {
+		c.abort()
+	}
+}
+
 // SetFrozen stops or resumes all traffic of a host, as if its process were paused.
 func (n *Network) SetFrozen(host string, frozen bool) {
 	n.mu.Lock()
@@ -179,12 +212,6 @@
 // if its process had died. The host can listen again afterwards.
 func (n *Network) Kill(host string) {
 	n.mu.Lock()
-	var resetting []*conn
-	for c := range n.conns {
-		if c.local == host || c.remote == host {
-			resetting = append(resetting, c)
-		}
-	}
 	var closing []io.Closer
 	for _, c := range n.packetConns {
 		if c.ip == host {
@@ -200,9 +227,7 @@
 	for _, c := range closing {
 		_ = c.Close() // never returns an error
 	}
-	for _, c := range resetting {
-		c.abort()
-	}
+	n.reset(func(c *conn) bool { return c.local == host || c.remote == host })
 }
 
 // newConnPair returns the two ends of a new connection to a listener's address.
