pkg/watchdog, service/gateway: a host that is cut off from all targets has other hosts serve its requests

Cause: a host judged each target by itself, so that a lost link looked like many failing targets. Ruled out: callers that keep old look-ups (no host was taken out of them), a bad choice of targets (all zones failed).

Change: pkg/watchdog takes connections and answers of all targets together, tries five others, and considers whether other hosts get answers, which hosts tell each other now. A host that is cut off is not ready and passes requests on, once, to hosts that reach targets; homes bind, rates are counted there, an unsafe request goes on only if it did not run. No crash of a target is concluded while the links are in doubt. If nobody reaches a target, nobody leaves.

--- a/internal/memnet/network.go
+++ b/internal/memnet/network.go
@@ -179,7 +179,9 @@
 
 // Reset resets the open connections between two hosts.
 func (n *Network) Reset(one, other string) {
-	n.reset(func(c *conn) bool { return (c.local == one && c.remote == other) || (c.local == other && c.remote == one) })
+	n.reset(func(c *conn) bool {
+		return (c.local == one && c.remote == other) || (c.local == other && c.remote == one)
+	})
 }
 
 // reset resets the connections that match.
--- a/pkg/aggregator/aggregator.go
+++ b/pkg/aggregator/aggregator.go
@@ -29,8 +29,10 @@
 
 // Report is the report of one host.
 type Report struct {
-	// Ready means that the host accepts callers.
-	Ready    bool
+	// Ready means that the host accepts callers, ReachesTargets that it gets answers from
+	// targets.
+	Ready, ReachesTargets bool
+
 	InFlight []balancer.InFlight
 	// Dispatches are those since the host's last report.
 	Dispatches []balancer.Dispatch
@@ -42,8 +44,8 @@
 type Host struct {
 	Instance ids.Instance
 	// Age is the time since the host's last report.
-	Age   time.Duration
-	Ready bool
+	Age                   time.Duration
+	Ready, ReachesTargets bool
 }
 
 // Summary is the sum of the hosts' reports.
@@ -66,8 +68,10 @@
 type host struct {
 	reportedAt time.Time
 	ready      bool
-	inFlight   []balancer.InFlight
-	usages     map[throttler.WorkspaceHash]throttler.Usage
+	// reachesTargets tells whether the host gets answers from targets.
+	reachesTargets bool
+	inFlight       []balancer.InFlight
+	usages         map[throttler.WorkspaceHash]throttler.Usage
 }
 
 // usage is what all hosts together admitted of a workspace.
@@ -88,7 +92,7 @@
 		h = &host{usages: make(map[throttler.WorkspaceHash]throttler.Usage)}
 		a.hosts[instance] = h
 	}
-	h.reportedAt, h.ready, h.inFlight = now, r.Ready, r.InFlight
+	h.reportedAt, h.ready, h.reachesTargets, h.inFlight = now, r.Ready, r.ReachesTargets, r.InFlight
 	for _, u := range r.Usages {
 		a.addUsage(h, u, known, now)
 	}
@@ -139,7 +143,7 @@
 		if age > listingTimeout {
 			continue
 		}
-		summary.Hosts = append(summary.Hosts, Host{instance, age, h.ready})
+		summary.Hosts = append(summary.Hosts, Host{instance, age, h.ready, h.reachesTargets})
 		if age > reportTimeout {
 			continue
 		}
--- a/pkg/lister/lister.go
+++ b/pkg/lister/lister.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 
@@ -27,6 +28,28 @@
 	Capacity float64 `json:"capacity,omitempty"`
 }
 
+// Distance returns 0 for a host in the same availability zone, 1 in the same region and 2
+// elsewhere.
+func (h Host) Distance(other Host) int {
+	switch {
+	case h.Zone == other.Zone:
+		return 0
+	case h.Region == other.Region:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// Others returns the other ones of the given hosts in random order, but the nearest ones
+// first.
+func (h Host) Others(all []Host) []Host {
+	others := slices.DeleteFunc(slices.Clone(all), func(o Host) bool { return o.PeersAddress == h.PeersAddress })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	slices.SortStableFunc(others, func(a, b Host) int { return cmp.Compare(h.Distance(a), h.Distance(b)) })
+	return others
+}
+
 // Lister holds the known hosts. The zero value is empty and ready for use, and its
 // methods are safe for concurrent use.
 type Lister struct {
--- a/service/gateway/crash.go
+++ b/service/gateway/crash.go
@@ -108,8 +108,8 @@
 		return
 	}
 	crashedAt := time.Now()
-	if !q.h.cfg.Sender.Refuses(ctx, c.Address) {
-		return
+	if q.h.cfg.Watchdog.Suspicious() || !q.h.cfg.Sender.Refuses(ctx, c.Address) {
+		return // the link may be lost, or only that connection
 	}
 	f, ok := q.fingerprint()
 	if !ok {
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -111,6 +111,8 @@
 		res.reason = "bodyTooLarge"
 	case q.body.Broken():
 		res.reason = "bodyBroken"
+	case errors.Is(context.Cause(ctx), errLinkLost):
+		res.reason = reasonLinkLost
 	case errors.Is(ctx.Err(), context.Canceled):
 		res.reason = "callerGone"
 	case ctx.Err() != nil:
--- a/service/gateway/forward.go
+++ b/service/gateway/forward.go
@@ -39,21 +39,7 @@
 		info.Workspace = q.ws.Name
 	}
 	q.h.cfg.HeaderCodec.WriteForward(header, info)
-	if _, ok := header["User-Agent"]; !ok {
-		header["User-Agent"] = []string{""} // keeps net/http from adding its own
-	}
-	u := &url.URL{Scheme: "http", Host: c.Address, Opaque: requestTarget(q.r.RequestURI)}
-	r := &http.Request{
-		Method: q.r.Method, URL: u, Host: q.r.Host, Header: header,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: q.r.ContentLength,
-	}
-	if q.r.ContentLength != 0 {
-		r.Body = q.body.NewReader()
-	} else if !q.route.Kind.Idempotent() {
-		// A non-nil body keeps net/http from retrying the request by itself.
-		r.Body = q.body.NewReader()
-	}
-	return r.WithContext(ctx)
+	return q.outgoing(ctx, c.Address, header)
 }
 
 // requestTarget returns a request's path and query as the caller sent them.
--- a/service/gateway/fuzz_test.go
+++ b/service/gateway/fuzz_test.go
@@ -66,7 +66,7 @@
 	h := gateway.New(gateway.Config{
 		Isolator:    &isolator.Isolator{},
 		HeaderCodec: testCodec{}, RouterSource: env, Confirmer: env, Balancer: lb, RateLimiter: env, Sender: sender,
-		RetryBudget: &retrier.Budget{}, Recorder: env,
+		RetryBudget: &retrier.Budget{}, Recorder: env, Watchdog: &env.links, Relayer: &env.hosts,
 		MaxConfirmationAge: func() time.Duration { return maxConfirmationAge },
 		Outdated:           func() bool { return false },
 		RetryRatio:         func() float64 { return 1 },
--- a/service/gateway/gateway_test.go
+++ b/service/gateway/gateway_test.go
@@ -37,6 +37,10 @@
 	}
 }
 
+func (testCodec) WriteRelay(h http.Header, timeout time.Duration) {
+	h.Set("Timeout", strconv.FormatInt(timeout.Milliseconds(), 10))
+}
+
 func (testCodec) WriteForward(h http.Header, s gateway.ForwardInfo) {
 	h.Del("Key")
 	h.Set("Workspace", string(s.Workspace))
@@ -122,6 +126,8 @@
 	overRate bool
 	records  []*gateway.Record
 	sender   *fakeSender
+	links    links
+	hosts    fakeRelayer
 }
 
 func (env *environment) Router() *router.Router     { return env.router.Load() }
@@ -167,7 +173,7 @@
 		f(env, gateway.New(gateway.Config{
 			Isolator:    &isolator.Isolator{},
 			HeaderCodec: testCodec{}, RouterSource: env, Confirmer: env, Balancer: lb, RateLimiter: env, Sender: env.sender,
-			RetryBudget: &retrier.Budget{}, Recorder: env,
+			RetryBudget: &retrier.Budget{}, Recorder: env, Watchdog: &env.links, Relayer: &env.hosts,
 			MaxConfirmationAge: func() time.Duration { return maxConfirmationAge },
 			Outdated:           func() bool { return false },
 			RetryRatio:         func() float64 { return 1 },
--- a/service/gateway/handler.go
+++ b/service/gateway/handler.go
@@ -36,6 +36,8 @@
 	Sender       Sender
 	RetryBudget  RetryBudget
 	Isolator     Isolator
+	Watchdog     Watchdog
+	Relayer      Relayer
 	Recorder     Recorder
 	// MaxConfirmationAge returns how long the configuration may be used after its last
 	// confirmation. Later, requests are rejected with status 503, as their keys may
@@ -53,6 +55,8 @@
 	cfg        Config
 	closeConns atomic.Bool
 	rejecting  atomic.Bool
+	// relayed counts the requests from other hosts that are in progress.
+	relayed atomic.Int64
 }
 
 // New returns a Handler that is ready to serve.
@@ -79,26 +83,55 @@
 	start   time.Time
 	body    *replayer.Replayer
 	// head is the hash of the request without its body, 0 if it was not needed yet.
-	head   fingerprinter.Hash
-	record Record
+	head fingerprinter.Hash
+	// fromHost is set if another host relayed the request, with the number of targets that
+	// it may still be sent to.
+	fromHost bool
+	maxSends int
+	record   Record
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{h: h, w: w, r: r, start: time.Now(), info: h.cfg.HeaderCodec.ReadRequest(r.Header)}
+	h.handle(&request{h: h, w: w, r: r})
+}
+
+// handle serves a request, by another host if this one is cut off from the targets.
+func (h *Handler) handle(q *request) {
+	q.start, q.info = time.Now(), h.cfg.HeaderCodec.ReadRequest(q.r.Header)
 	q.record = Record{ID: q.info.ID, Object: q.info.Object}
 	if h.closeConns.Load() {
-		w.Header().Set("Connection", "close")
+		q.w.Header().Set("Connection", "close")
 	}
 	if rej := q.prepare(); rej != nil {
 		q.reject(rej)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), q.start.Add(q.record.Timeout))
+	ctx, cancel := context.WithDeadline(q.r.Context(), q.start.Add(q.record.Timeout))
 	defer cancel()
+	if q.mayRelay() {
+		q.relay(ctx, progress{notRun: true})
+		return
+	}
+	if rej := q.admit(); rej != nil { // the other host admits a relayed request
+		q.reject(rej)
+		return
+	}
 	q.serve(ctx)
 }
 
+// Reasons of this host's own state for which it refuses requests.
+const (
+	reasonLeaving         = "leaving"
+	reasonNoConfiguration = "noConfiguration"
+	reasonUnconfirmed     = "unconfirmed"
+	reasonOutdated        = "outdated"
+	reasonCutOff          = "cutOff"
+)
+
+// reasonLinkLost is the reason of an attempt that ended as the host was found to be cut off.
+const reasonLinkLost = "linkLost"
+
 // rejection is a response that this host generates itself.
 type rejection struct {
 	status     int
@@ -106,15 +139,26 @@
 	retryAfter time.Duration
 }
 
-// prepare matches and authenticates the request and applies the limits. It returns a
-// rejection if the request may not run.
+// isOfHost reports whether the reason is this host's state, so that another one may serve the
+// request.
+func (rej *rejection) isOfHost() bool {
+	switch rej.reason {
+	case reasonLeaving, reasonNoConfiguration, reasonUnconfirmed, reasonOutdated, reasonCutOff:
+		return true
+	default:
+		return false
+	}
+}
+
+// prepare matches and authenticates the request. It returns a rejection if the request may
+// not run.
 func (q *request) prepare() *rejection {
 	if q.h.rejecting.Load() {
-		return &rejection{http.StatusServiceUnavailable, "leaving", retryAfterNotReady}
+		return &rejection{http.StatusServiceUnavailable, reasonLeaving, retryAfterNotReady}
 	}
 	q.router = q.h.cfg.RouterSource.Router()
 	if q.router == nil {
-		return &rejection{http.StatusServiceUnavailable, "noConfiguration", retryAfterNotReady}
+		return &rejection{http.StatusServiceUnavailable, reasonNoConfiguration, retryAfterNotReady}
 	}
 	q.record.ConfigVersion = q.router.Version
 	q.record.ConfirmationAge, _ = q.h.cfg.Confirmer.Age()
@@ -136,7 +180,10 @@
 	q.record.Service = q.service
 	q.setTimeout()
 	q.body = replayer.New(q.r.Body, maxReplayBytes, q.router.Limits.MaxBodyBytes)
-	return q.admit()
+	if !q.fromHost {
+		q.maxSends = q.route.MaxAttempts
+	}
+	return nil
 }
 
 // staleness returns the reason why what this host knows cannot be relied on now, or an empty
@@ -145,9 +192,9 @@
 	age, ok := q.h.cfg.Confirmer.Age()
 	switch {
 	case !ok || age >= q.h.cfg.MaxConfirmationAge():
-		return "unconfirmed"
+		return reasonUnconfirmed
 	case q.h.cfg.Outdated():
-		return "outdated"
+		return reasonOutdated
 	default:
 		return ""
 	}
@@ -217,7 +264,7 @@
 		return ""
 	}
 	if ws := current.WorkspaceByKey(q.info.Key); ws == nil || ws.Name != q.ws.Name {
-		return "unconfirmed"
+		return reasonUnconfirmed
 	}
 	return ""
 }
@@ -228,6 +275,9 @@
 		q.record.CallerGone = true
 	}
 	header := q.w.Header()
+	if q.fromHost && rej.isOfHost() {
+		header.Set(headerRelayRefused, "1")
+	}
 	if rej.retryAfter > 0 {
 		header.Set("Retry-After", formatSeconds(rej.retryAfter))
 	}
--- a/service/gateway/ports.go
+++ b/service/gateway/ports.go
@@ -75,6 +75,8 @@
 type HeaderCodec interface {
 	// ReadRequest decodes the metadata of a caller's request.
 	ReadRequest(h http.Header) RequestInfo
+	// WriteRelay sets the time that a request has left in the metadata for another host.
+	WriteRelay(h http.Header, timeout time.Duration)
 	// WriteForward replaces the caller's metadata in h by that for the target, and
 	// removes the key.
 	WriteForward(h http.Header, info ForwardInfo)
@@ -118,6 +120,29 @@
 	Refuses(ctx context.Context, address string) bool
 }
 
+// Watchdog finds out whether this host has lost its links to all targets. Its methods may be
+// called concurrently.
+type Watchdog interface {
+	// CutOff reports whether the links are lost, and Suspicious whether they may be.
+	CutOff() bool
+	Suspicious() bool
+	// Lost returns a channel that is closed when the links are found lost the next time.
+	Lost() <-chan struct{}
+	// Begin records that a request is sent to the target at an address. The returned
+	// function must be called when it has ended, and tells whether the target answered.
+	Begin(address string) func(answered bool)
+}
+
+// Relayer sends requests to other hosts.
+type Relayer interface {
+	// Hosts returns the addresses of hosts to which a request may be sent whose targets
+	// must be in one of each of the given lists of regions, the preferred ones first. An
+	// empty list allows all regions.
+	Hosts(homeRegions [][]ids.Region) []string
+	// Do is like Sender.Do, to the host at an address that Hosts returned.
+	Do(ctx context.Context, address string, r *http.Request) (resp *http.Response, wrote bool, err error)
+}
+
 // RetryBudget limits retries to a share of the requests.
 type RetryBudget interface {
 	// RecordRequest counts one request, which earns ratio of a retry.
@@ -164,6 +189,9 @@
 
 // Attempt describes one attempt to send a request to a target.
 type Attempt struct {
+	// Relay is the address of the host to which the request was passed on; the fields up
+	// to Expected are empty then.
+	Relay  string
 	Target ids.Target
 	Zone   ids.Zone
 	Region ids.Region
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -11,6 +11,7 @@
 
 	"gypsumbeam.example/gypsumbeam/pkg/balancer"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/router"
 )
 
 const (
@@ -40,18 +41,31 @@
 	release func()
 }
 
+// progress is how far a request has come that got no answer yet.
+type progress struct {
+	// notRun reports that it certainly did not run.
+	notRun bool
+	// sends counts the targets that it may have reached.
+	sends int
+	last  *result
+}
+
 // serve sends the request to one target after another until one of them responds, the
-// attempts are used up, or a retry is not safe.
+// attempts are used up, or a retry is not safe. If this host turns out to be cut off from the
+// targets, another host continues.
 func (q *request) serve(ctx context.Context) {
 	q.h.cfg.RetryBudget.RecordRequest(q.service, "", q.h.cfg.RetryRatio())
-	notRun := true
+	p := progress{notRun: true}
 	var avoid []ids.Target
-	var last *result
 	var pickErr error
-	for n := 0; n < q.route.MaxAttempts; n++ {
-		if n > 0 && !q.mayRetry(ctx, notRun) {
+	for n := 0; n < q.maxSends; n++ {
+		if n > 0 && !q.mayRetry(ctx, p.notRun) {
 			break
 		}
+		if n > 0 && q.mayRelay() {
+			q.relay(ctx, p)
+			return
+		}
 		if err := q.checkSuspicion(ctx); err != nil {
 			pickErr = err
 			break
@@ -63,32 +77,50 @@
 		}
 		if reason := q.mayStillSend(); reason != "" {
 			choice.Done(balancer.Result{})
-			q.giveUp(ctx, notRun, reason, retryAfterNotReady)
+			q.giveUp(ctx, p.notRun, reason, retryAfterNotReady)
 			return
 		}
-		res := q.attempt(ctx, choice)
 		avoid = append(avoid, choice.Target)
-		notRun = notRun && res.notRun
-		if last != nil && last.release != nil {
-			last.release()
-		}
-		last = res
-		if res.usable && (res.resp.StatusCode < http.StatusInternalServerError || !q.route.Kind.Idempotent()) {
-			break
-		}
-		if ctx.Err() != nil {
+		if p.add(q.attempt(ctx, choice)); p.isOver(q.route) || ctx.Err() != nil {
 			break
 		}
 	}
-	if last != nil && last.usable {
-		q.writeResponse(last)
+	q.finish(ctx, p, pickErr)
+}
+
+// add takes in the result of a send. A target that this host is cut off from counts as not
+// reached, though it may have run the request.
+func (p *progress) add(res *result) {
+	p.notRun = p.notRun && res.notRun
+	if !res.notRun && res.reason != reasonLinkLost {
+		p.sends++
+	}
+	if p.last != nil && p.last.release != nil {
+		p.last.release()
+	}
+	p.last = res
+}
+
+// isOver reports whether there is a response that is not to be replaced by another one.
+func (p *progress) isOver(route *router.Route) bool {
+	return p.last.usable && (p.last.resp.StatusCode < http.StatusInternalServerError || !route.Kind.Idempotent())
+}
+
+// finish responds to the caller once nothing is sent any longer.
+func (q *request) finish(ctx context.Context, p progress, pickErr error) {
+	switch {
+	case p.last != nil && p.last.usable:
+		q.writeResponse(p.last)
+		return
+	case ctx.Err() == nil && pickErr == nil && q.mayRelay() && q.mayRetry(ctx, p.notRun):
+		q.relay(ctx, p) // the links were found lost by the last attempt
 		return
 	}
 	reason, wait := explain(pickErr)
-	if last != nil && reason != reasonIsolated {
-		reason = last.reason
+	if p.last != nil && reason != reasonIsolated {
+		reason = p.last.reason
 	}
-	q.giveUp(ctx, notRun, reason, wait)
+	q.giveUp(ctx, p.notRun, reason, wait)
 }
 
 // explain returns the reason and the Retry-After time for a caller for whom Pick returned
@@ -143,11 +175,15 @@
 // records the attempt.
 func (q *request) attempt(ctx context.Context, c *balancer.Choice) *result {
 	start := time.Now()
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
+	stopWatching := q.cancelIfCutOff(ctx, cancel)
+	end := q.h.cfg.Watchdog.Begin(c.Address)
 	res := q.exchange(ctx, c)
+	end(res.resp != nil)
+	stopWatching()
 	q.observeCrash(ctx, c, res, start)
 	release := func() {
-		cancel()
+		cancel(nil)
 		if res.resp != nil {
 			_ = res.resp.Body.Close() // the rest is not needed
 		}
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -7,7 +7,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -28,6 +30,7 @@
 	"gypsumbeam.example/gypsumbeam/pkg/retrier"
 	"gypsumbeam.example/gypsumbeam/pkg/router"
 	"gypsumbeam.example/gypsumbeam/pkg/throttler"
+	"gypsumbeam.example/gypsumbeam/pkg/watchdog"
 	"gypsumbeam.example/gypsumbeam/service/gateway"
 	"gypsumbeam.example/gypsumbeam/service/siblings"
 	"gypsumbeam.example/gypsumbeam/service/targets"
@@ -55,6 +58,9 @@
 	targetConnectTimeout = 400 * time.Millisecond
 	// maxConnsPerTarget bounds the connections of this host to one target.
 	maxConnsPerTarget = 32
+	// maxConnsPerHost bounds the connections of this host to another one, to which it passes
+	// requests on while it is cut off from the targets.
+	maxConnsPerHost = 256
 )
 
 // Bounds are the operators' requirements. They may change while the host runs.
@@ -117,6 +123,8 @@
 	budget      retrier.Budget
 	isolator    isolator.Isolator
 	sender      *targets.Sender
+	relayer     *relayer
+	watchdog    watchdog.Watchdog
 	handler     *gateway.Handler
 	server      *pipeliner.Server
 	recorder    *recorder
@@ -139,22 +147,28 @@
 	})
 	h.balancer.SetShare(pacer.Share{})
 	h.apportioner = apportioner{throttler: &h.throttler}
-	h.registrar.OnChange = h.balancer.SetTargets
+	h.registrar.OnChange = h.setTargets
 	h.throttler.HostCount = h.lister.Count
 	h.throttler.Tolerance = func(w *router.Workspace) float64 { return h.bounds.Load().rateAllowance(w) }
 	h.isolator.Self, h.isolator.Hosts = cfg.Self.Instance, h.instances
 	h.budget.MaxCredit = func() float64 { return maxSavedRetries * h.hostShare() }
 	h.sender = targets.NewSender(targets.SenderConfig{
 		Dial: cfg.Dial, ConnectTimeout: targetConnectTimeout, IdleTimeout: targetIdleTimeout, MaxConnsPerTarget: maxConnsPerTarget, OmitTimeout: true,
-		OnConnect: h.balancer.RecordConnectTime,
+		OnConnect: h.recordConnect, OnConnectError: h.recordConnectError,
 	})
+	h.relayer = &relayer{self: cfg.Self, reaching: h.reachingTargets, sender: targets.NewSender(targets.SenderConfig{
+		Dial: cfg.Dial, ConnectTimeout: targetConnectTimeout, IdleTimeout: targetIdleTimeout, MaxConnsPerTarget: maxConnsPerHost, OmitTimeout: true,
+	})}
+	h.watchdog.Reach = h.sender.Reaches
+	h.watchdog.OthersReach = func() bool { return len(h.reachingTargets()) > 0 }
+	h.watchdog.OnChange = func(cutOff bool) { h.log.WithField("cutOff", cutOff).Warn("links to targets changed") }
 	h.handler = gateway.New(gateway.Config{
 		HeaderCodec: cfg.HeaderCodec, RouterSource: h, Confirmer: cfg.Confirmer, Balancer: h.balancer, RateLimiter: &h.throttler,
-		Sender: h.sender, RetryBudget: &h.budget, Isolator: &h.isolator, Recorder: h.recorder,
+		Sender: h.sender, RetryBudget: &h.budget, Isolator: &h.isolator, Watchdog: &h.watchdog, Relayer: h.relayer, Recorder: h.recorder,
 		MaxConfirmationAge: h.MaxConfirmationAge, Outdated: cfg.State.Outdated, RetryRatio: func() float64 { return h.bounds.Load().RetryRatio },
 	})
 	h.broadcaster = siblings.New(siblings.Config{
-		Self: cfg.Self, Conn: cfg.Conn, Hosts: h.lister.Hosts, Ready: h.Ready, State: cfg.State,
+		Self: cfg.Self, Conn: cfg.Conn, Hosts: h.lister.Hosts, Ready: h.Ready, ReachesTargets: h.watchdog.Reaches, State: cfg.State,
 		Confirmer: cfg.Confirmer, Balancer: h.balancer, Throttler: &h.throttler, Isolator: &h.isolator,
 		Log: logflags.Logger(logflags.Peers),
 	})
@@ -244,6 +258,7 @@
 			}
 			last = now
 			h.registrar.Expire()
+			h.watchdog.Tick(ctx)
 			h.lister.SetSelf(h.cfg.Self, h.Ready())
 			h.updateShares()
 			h.broadcaster.Tick()
@@ -272,12 +287,43 @@
 }
 
 // Ready reports whether this host accepts callers: it has a confirmed configuration, misses
-// no change that must be followed now, and is not draining.
+// no change that must be followed now, is not cut off from the targets, and is not draining.
 func (h *Host) Ready() bool {
 	age, ok := h.cfg.Confirmer.Age()
-	return !h.draining.Load() && h.router.Load() != nil && ok && age < h.MaxConfirmationAge() && !h.cfg.State.Outdated()
+	return !h.draining.Load() && h.router.Load() != nil && ok && age < h.MaxConfirmationAge() && !h.cfg.State.Outdated() &&
+		!h.watchdog.CutOff()
 }
 
+// RelayedHandler returns the handler of requests that other hosts pass on. It is to be served
+// for hosts only, as it trusts their header fields.
+func (h *Host) RelayedHandler() http.Handler { return h.handler.RelayedHandler() }
+
+// setTargets takes in the registered targets.
+func (h *Host) setTargets(all []registrar.Target) {
+	addresses := make([]string, 0, len(all))
+	for _, t := range all {
+		addresses = append(addresses, t.Address)
+	}
+	h.watchdog.SetTargets(addresses)
+	h.balancer.SetTargets(all)
+}
+
+func (h *Host) recordConnect(address string, took time.Duration) {
+	h.watchdog.RecordConnect(address, true)
+	h.balancer.RecordConnectTime(address, took)
+}
+
+// recordConnectError takes in that a connection to a target could not be opened. That a
+// request was given up tells nothing.
+func (h *Host) recordConnectError(address string, err error) {
+	if !errors.Is(err, context.Canceled) {
+		h.watchdog.RecordConnect(address, false)
+	}
+}
+
+// reachingTargets returns the other hosts that reach targets.
+func (h *Host) reachingTargets() []lister.Host { return h.broadcaster.ReachingTargets() }
+
 // Lister returns the list of entry hosts that look-ups are answered from.
 func (h *Host) Lister() *lister.Lister { return h.lister }
 
@@ -295,12 +341,13 @@
 	h.handler.RejectRequests()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	err := h.server.Drain(ctx)
+	err := errors.Join(h.server.Drain(ctx), h.handler.DrainRelayed(ctx))
 	h.server.Close()
 	h.cancel()
 	_ = h.cfg.Conn.Close() // the process exits next
 	h.background.Wait()
 	h.sender.Close()
+	h.relayer.sender.Close()
 	h.log.WithField("clean", err == nil).Info("stopped")
 }
 
--- a/service/gatewayhost/recorder.go
+++ b/service/gatewayhost/recorder.go
@@ -75,8 +75,13 @@
 	}).Warn("target crashed under a request")
 }
 
-// count adds the request to the metrics, by workspace, route, region and status.
+// count adds the request to the metrics, by workspace, route, region and status. One that
+// another host served is in that host's metrics.
 func (r *recorder) count(rec *gateway.Record) {
+	if n := len(rec.Attempts); n > 0 && rec.Attempts[n-1].Relay != "" {
+		r.metrics.Count("relayed", rec.Attempts[n-1].Result)
+		return
+	}
 	workspace, route, region := orNone(string(rec.Workspace)), orNone(rec.Route), none
 	if n := len(rec.Attempts); n > 0 {
 		region = string(rec.Attempts[n-1].Region)
@@ -108,6 +113,10 @@
 		if i > 0 {
 			b.WriteByte(';')
 		}
+		if a.Relay != "" {
+			fmt.Fprintf(&b, "%s,took=%d,%s", a.Relay, a.Elapsed.Milliseconds(), a.Result)
+			continue
+		}
 		fmt.Fprintf(&b, "%s,%s,warm=%t,backlog=%.0f,expected=%d,took=%d,%s", a.Target, a.Zone, a.Warm,
 			a.Backlog, a.Expected.Milliseconds(), a.Elapsed.Milliseconds(), a.Result)
 	}
--- a/service/siblings/peer.go
+++ b/service/siblings/peer.go
@@ -16,9 +16,11 @@
 	host lister.Host
 	addr net.Addr
 	// lastHeard is when the host was last heard from, directly or through another host.
-	lastHeard    time.Time
-	ready        bool
-	loggedSilent bool
+	lastHeard time.Time
+	ready     bool
+	// reachesTargets tells whether the host gets answers from targets.
+	reachesTargets bool
+	loggedSilent   bool
 	// lastSentAt is the peer's clock when it sent its last message, and receivedAt when
 	// that was received.
 	lastSentAt   int64
@@ -140,3 +142,18 @@
 	}
 	return all
 }
+
+// ReachingTargets returns the hosts that are heard from, accept callers and get answers from
+// targets.
+func (b *Broadcaster) ReachingTargets() []lister.Host {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all []lister.Host
+	for _, p := range b.peers.byAddress {
+		if p.ready && p.reachesTargets && b.alive(p, now) {
+			all = append(all, p.host)
+		}
+	}
+	return all
+}
--- a/service/siblings/receive.go
+++ b/service/siblings/receive.go
@@ -40,7 +40,7 @@
 		return // The sender is not registered, or no longer.
 	}
 	p.lastHeard, b.lastHeard = now, now
-	p.ready = m.Ready
+	p.ready, p.reachesTargets = m.Ready, m.ReachesTargets
 	p.lastSentAt, p.receivedAt = m.SentAt, b.cfg.Confirmer.Now()
 	updates := b.acceptAll(p, m, now)
 	b.mu.Unlock()
@@ -126,7 +126,7 @@
 		return b.acceptSummary(p, m, s, now)
 	case b.hierarchical() && p.host.Zone == b.cfg.Self.Zone:
 		r := s.report()
-		r.Ready = m.Ready
+		r.Ready, r.ReachesTargets = m.Ready, m.ReachesTargets
 		b.zone.aggregator.AddReport(p.host.Instance, &r, now)
 		return update{}, false
 	default:
--- a/service/siblings/siblings.go
+++ b/service/siblings/siblings.go
@@ -73,7 +73,9 @@
 	Hosts func() []lister.Host
 	// Ready reports whether this host accepts callers.
 	Ready func() bool
-	State State
+	// ReachesTargets reports whether this host gets answers from targets.
+	ReachesTargets func() bool
+	State          State
 	// Confirmer is the clock of all proofs.
 	Confirmer *confirmer.Confirmer
 	Balancer  *balancer.Balancer
@@ -167,7 +169,7 @@
 	r.provenAt = provenAt
 	r.message = message{
 		From: b.cfg.Self.Instance, Version: b.cfg.State.Version(), Era: at.Era, Revision: at.Revision,
-		Ready: b.cfg.Ready(), ProofAge: -1,
+		Ready: b.cfg.Ready(), ReachesTargets: b.cfg.ReachesTargets(), ProofAge: -1,
 	}
 	r.inFlight = b.cfg.Balancer.InFlight()
 	if limits, suspects := b.cfg.Balancer.Limits(), b.cfg.Isolator.Due(); len(limits)+len(suspects) > 0 {
@@ -213,7 +215,7 @@
 // report returns this host's report to p, with the dispatches since the previous one.
 // The caller holds the lock.
 func (b *Broadcaster) report(r *round, p *peer) *aggregator.Report {
-	rep := &aggregator.Report{Ready: r.message.Ready, InFlight: r.inFlight, Usages: r.usages}
+	rep := &aggregator.Report{Ready: r.message.Ready, ReachesTargets: r.message.ReachesTargets, InFlight: r.inFlight, Usages: r.usages}
 	rep.Dispatches, p.nextDispatch = b.cfg.Balancer.Dispatches(p.nextDispatch, maxDispatches)
 	return rep
 }
--- a/service/siblings/siblings_bench_test.go
+++ b/service/siblings/siblings_bench_test.go
@@ -28,7 +28,7 @@
 	conn := &countingConn{}
 	self := lister.Host{Instance: ids.NewInstance(), CallersAddress: "10.0.0.1:1", PeersAddress: "10.0.0.1:1"}
 	broadcaster := siblings.New(siblings.Config{
-		Self: self, Conn: conn, Ready: func() bool { return true }, State: &host{},
+		Self: self, Conn: conn, Ready: func() bool { return true }, ReachesTargets: func() bool { return true }, State: &host{},
 		Hosts: func() []lister.Host {
 			return []lister.Host{self, {Instance: ids.NewInstance(), CallersAddress: "10.0.0.2:1", PeersAddress: "10.0.0.2:1"}}
 		},
--- a/service/siblings/siblings_test.go
+++ b/service/siblings/siblings_test.go
@@ -154,7 +154,7 @@
 	h.version.Store(7)
 	h.balancer.SetTargets([]registrar.Target{{ID: "t", Service: "s", Address: "10.1.0.1:1", Slots: 2, Zone: "z"}})
 	h.broadcaster = siblings.New(siblings.Config{
-		Self: h.self, Conn: h.conn, Hosts: fl.hostList, Ready: func() bool { return true }, State: h,
+		Self: h.self, Conn: h.conn, Hosts: fl.hostList, Ready: func() bool { return true }, ReachesTargets: func() bool { return true }, State: h,
 		Confirmer: h.confirmer, Balancer: h.balancer, Throttler: h.throttler, Isolator: &isolator.Isolator{}, Log: logflags.Logger(logflags.Peers),
 	})
 	fl.mu.Lock()
--- a/service/siblings/wire.go
+++ b/service/siblings/wire.go
@@ -34,8 +34,9 @@
 	// Era and Revision are the newest position of the store that the sender knows of.
 	Era      ids.Era
 	Revision ids.StoreRevision
-	// Ready means that the sender accepts callers.
-	Ready bool
+	// Ready means that the sender accepts callers, ReachesTargets that it gets answers from
+	// targets.
+	Ready, ReachesTargets bool
 	// Sections are encoded separately, because the same ones go to many hosts.
 	Sections []cbor.RawMessage
 }
@@ -63,8 +64,8 @@
 	_            struct{} `cbor:",toarray"`
 	InstanceHash uint32
 	// Age is the time since the host was last heard from, in milliseconds.
-	Age   uint32
-	Ready bool
+	Age                   uint32
+	Ready, ReachesTargets bool
 }
 
 type inFlight struct {
@@ -101,7 +102,9 @@
 		Usages: encodeUsages(s.Usages),
 	}
 	for _, h := range s.Hosts {
-		sec.Hosts = append(sec.Hosts, hostStatus{InstanceHash: instanceHash(h.Instance), Age: uint32(h.Age.Milliseconds()), Ready: h.Ready})
+		sec.Hosts = append(sec.Hosts, hostStatus{
+			InstanceHash: instanceHash(h.Instance), Age: uint32(h.Age.Milliseconds()), Ready: h.Ready, ReachesTargets: h.ReachesTargets,
+		})
 	}
 	return sec
 }
--- a/service/siblings/zone.go
+++ b/service/siblings/zone.go
@@ -104,7 +104,7 @@
 			b.send(p, r, b.encode(reportSection(b.report(r, p))))
 		}
 	}
-	own := &aggregator.Report{Ready: r.message.Ready, InFlight: r.inFlight, Usages: r.usages}
+	own := &aggregator.Report{Ready: r.message.Ready, ReachesTargets: r.message.ReachesTargets, InFlight: r.inFlight, Usages: r.usages}
 	own.Dispatches, z.nextOwnDispatch = b.cfg.Balancer.Dispatches(z.nextOwnDispatch, maxDispatches)
 	z.aggregator.AddReport(b.cfg.Self.Instance, own, r.now)
 	if leading := z.delegator.IsLeader(); leading != z.wasLeader {
@@ -266,7 +266,7 @@
 			continue
 		}
 		if heard := at.Add(-time.Duration(h.Age) * time.Millisecond); heard.After(p.lastHeard) {
-			p.lastHeard, p.ready = heard, h.Ready
+			p.lastHeard, p.ready, p.reachesTargets = heard, h.Ready, h.ReachesTargets
 		}
 	}
 }
--- a/service/targets/sender.go
+++ b/service/targets/sender.go
@@ -49,6 +49,8 @@
 	MaxConnsPerTarget int
 	// OnConnect, if set, is called with the time that it took to open a connection.
 	OnConnect func(address string, took time.Duration)
+	// OnConnectError, if set, is called when a connection cannot be opened.
+	OnConnectError func(address string, err error)
 	// OmitTimeout leaves HeaderTimeout out, for callers that send the remaining time in
 	// another field.
 	OmitTimeout bool
@@ -164,6 +166,9 @@
 	start := time.Now()
 	c, err := s.cfg.Dial(ctx, address)
 	if err != nil {
+		if s.cfg.OnConnectError != nil {
+			s.cfg.OnConnectError(address, err)
+		}
 		return nil, err
 	}
 	if s.cfg.OnConnect != nil {
@@ -175,14 +180,23 @@
 // Refuses reports whether nothing listens at the address of a target, as after a crash. It
 // returns false if that is not known, as when the target does not answer.
 func (s *Sender) Refuses(ctx context.Context, address string) bool {
+	return errors.Is(s.tryConnect(ctx, address), syscall.ECONNREFUSED)
+}
+
+// Reaches reports whether a connection to the target at an address can be opened.
+func (s *Sender) Reaches(ctx context.Context, address string) bool {
+	return s.tryConnect(ctx, address) == nil
+}
+
+// tryConnect opens a connection and closes it.
+func (s *Sender) tryConnect(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.ConnectTimeout)
 	defer cancel()
 	c, err := s.cfg.Dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	if err == nil {
+		_ = c.Close() // it was not used
 	}
-	_ = c.Close() // it was not used
-	return false
+	return err
 }
 
 // Do is like Send, but reports only whether a byte of r may have been written, which is
