--- a/service/gateway/relay_test.go
+++ b/service/gateway/relay_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,15 +17,20 @@
 
 // links implements gateway.Watchdog.
 type links struct {
-	cutOff bool
+	cutOff atomic.Bool
 	lost   chan struct{}
 }
 
-func (l *links) CutOff() bool                           { return l.cutOff }
-func (l *links) Suspicious() bool                       { return l.cutOff }
+func (l *links) CutOff() bool                           { return l.cutOff.Load() }
+func (l *links) Suspicious() bool                       { return l.cutOff.Load() }
 func (l *links) Lost() <-chan struct{}                  { return l.lost }
 func (l *links) Begin(string) (end func(answered bool)) { return func(bool) {} }
-func (l *links) lose()                                  { l.cutOff = true; close(l.lost) }
+
+// lose makes the links be found lost.
+func (l *links) lose() {
+	l.cutOff.Store(true)
+	close(l.lost)
+}
 
 // fakeRelayer implements gateway.Relayer with hosts that respond like the replies of its
 // sender.
@@ -44,11 +50,12 @@
 	return respond(http.StatusServiceUnavailable, "", "Gypsum-Relay-Refused", "1")
 }
 
-// relayCase is a handler that is cut off from the targets, with three other hosts.
+// withCutOffHandler is like withHandler, with a host that is cut off from the targets and three
+// other ones that respond with replies.
 func withCutOffHandler(t *testing.T, replies []reply, f func(env *environment, h *gateway.Handler)) {
 	t.Helper()
 	withHandler(t, []reply{connectionLost(false)}, func(env *environment, h *gateway.Handler) {
-		env.links.cutOff = true
+		env.links.cutOff.Store(true)
 		env.hosts = fakeRelayer{fakeSender{replies: replies}, []string{"h1", "h2", "h3"}, nil}
 		f(env, h)
 	})
