service/gateway: a host whose state goes stale tells truly whether a relayed request ran

Found by reading: a host that serves a request for another one, sends it, and then finds its configuration unconfirmed or outdated, marked its 502 as a refusal because of its own state. The other host took that for not run, and could end in a 503 though an idempotent request had run. Only 503s are marked now. The test failed before.

--- a/service/gateway/handler.go
+++ b/service/gateway/handler.go
@@ -139,9 +139,12 @@
 	retryAfter time.Duration
 }
 
-// isOfHost reports whether the reason is this host's state, so that another one may serve the
-// request.
+// isOfHost reports whether the request did not run because of this host's state, so that
+// another one may serve it.
 func (rej *rejection) isOfHost() bool {
+	if rej.status != http.StatusServiceUnavailable {
+		return false
+	}
 	switch rej.reason {
 	case reasonLeaving, reasonNoConfiguration, reasonUnconfirmed, reasonOutdated, reasonCutOff:
 		return true
--- a/service/gateway/relay_test.go
+++ b/service/gateway/relay_test.go
@@ -129,6 +129,20 @@
 	})
 }
 
+// A host whose state goes stale while a relayed request runs must not say that it did not run.
+func TestStaleHostTellsWhetherRelayedRequestRan(t *testing.T) {
+	withHandler(t, []reply{connectionLost(true)}, func(env *environment, h *gateway.Handler) {
+		is := is.New(t)
+		env.sender.replies[0] = func(ctx context.Context, r *http.Request) (*http.Response, bool, error) {
+			env.age = maxConfirmationAge
+			return connectionLost(true)(ctx, r)
+		}
+		rec := call(h.RelayedHandler(), http.MethodGet, "/read/1", "", gateway.HeaderRelay, "2")
+		is.Equal(rec.Code, http.StatusBadGateway)
+		is.Equal(rec.Header().Get("Gypsum-Relay-Refused"), "")
+	})
+}
+
 // An idempotent request whose target hangs is passed on as soon as the links are found lost.
 // Another one waits, as it may have run.
 func TestLostLinkEndsWaiting(t *testing.T) {
