--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -37,7 +37,7 @@
 	}
 	path := func(name, prefix, kind string) map[string]any {
 		return map[string]any{
-			"name": name, "prefix": prefix, "kind": kind, "timeout": "2000ms", "targetLatency": "500ms", "priority": 1,
+			"name": name, "prefix": prefix, "kind": kind, "timeout": strconv.FormatInt(routeTimeout.Milliseconds(), 10) + "ms", "targetLatency": "500ms", "priority": 1,
 			"service": "shop", "maxAttempts": 2, "anonymous": len(tenants) == 0, "affinity": false, "homeRegions": []string{},
 		}
 	}
@@ -71,11 +71,16 @@
 	seq   int
 }
 
+// A target has defaultSlots slots unless the case sets others, and a queue of queueFactor
+// times as many.
 const (
-	slotCount = 64
-	queueSize = 192
+	defaultSlots = 64
+	queueFactor  = 3
 )
 
+// routeTimeout is the timeout of all routes.
+const routeTimeout = 2 * time.Second
+
 // startTarget starts a target, which registers itself every heartbeat.
 func (w *world) startTarget(id string, zone int, work time.Duration, onRun func(r *http.Request)) error {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -83,7 +88,7 @@
 		return err
 	}
 	t := &target{
-		w: w, id: id, zone: zone, address: ln.Addr().String(), born: time.Now().UnixMilli(), slots: make(chan struct{}, slotCount),
+		w: w, id: id, zone: zone, address: ln.Addr().String(), born: time.Now().UnixMilli(), slots: make(chan struct{}, w.slots),
 		work: func(*http.Request) time.Duration { return work }, onRun: onRun,
 	}
 	go func() { _ = (&http.Server{Handler: t}).Serve(ln) }()
@@ -104,7 +109,7 @@
 	t.seq++
 	t.w.store.Put("servers/"+t.id, fmt.Sprintf(
 		`{"service":"shop","address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","coldLeft":"0ms","seq":%d,"born":%d}`,
-		t.address, zones[t.zone]["zone"], slotCount, t.seq, t.born))
+		t.address, zones[t.zone]["zone"], cap(t.slots), t.seq, t.born))
 }
 
 // ServeHTTP implements http.Handler.
@@ -116,7 +121,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if t.waiting.Add(1) > slotCount+queueSize {
+	if t.waiting.Add(1) > int64(cap(t.slots)*(1+queueFactor)) {
 		t.waiting.Add(-1)
 		w.Header().Set("Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -140,6 +145,6 @@
 		return
 	}
 	w.Header().Set("Server-Stamp", "stamp-"+t.id)
-	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", len(t.slots), slotCount))
+	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", len(t.slots), cap(t.slots)))
 	_, _ = fmt.Fprintf(w, "%s %s %d\n", id, r.URL.Path, len(body)) // the host may be gone
 }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -54,6 +54,8 @@
 	store   *kvstore.Store
 	address string
 	trouble bool
+	// slots is the number of slots of each target.
+	slots int
 
 	mu      sync.Mutex
 	hosts   []*host
@@ -66,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{recorder: rec, folder: folder, store: &kvstore.Store{}, trouble: trouble}
+	w := &world{recorder: rec, folder: folder, store: &kvstore.Store{}, trouble: trouble, slots: defaultSlots}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
