--- a/review/standin/cut.go
+++ b/review/standin/cut.go
@@ -3,8 +3,8 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -88,7 +88,7 @@
 }
 
 func (p *path) open() error {
-	ln, err := net.Listen("tcp", p.address)
+	ln, err := listen(p.address)
 	if err != nil {
 		return err
 	}
@@ -118,7 +118,7 @@
 		if err != nil {
 			return
 		}
-		to, err := net.Dial("tcp", p.target)
+		to, err := dial(p.target)
 		if err != nil {
 			_ = c.Close()
 			continue
@@ -141,7 +141,7 @@
 
 // viewOf serves the store to one host. The entries of targets name the paths of that host.
 func (w *world) viewOf(ps *paths) (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := listen("127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
@@ -223,7 +223,7 @@
 // callers use host b.
 func cutCase(w *world) (bool, error) {
 	for i := range 6 {
-		if err := w.startTarget(fmt.Sprintf("i-%d", i), i%2, 20*time.Millisecond, func(*http.Request) {}); err != nil {
+		if err := w.startTarget(fmt.Sprintf("i-%d", i), i%2, func(*http.Request) {}); err != nil {
 			return false, err
 		}
 	}
@@ -246,7 +246,7 @@
 			return false, err
 		}
 	}
-	if err := waitReady(10*time.Second, a, b); err != nil {
+	if err := waitReady(a, b); err != nil {
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
@@ -259,7 +259,7 @@
 		client := &http.Client{Transport: &http.Transport{}}
 		for n := 0; ; n++ {
 			begin := time.Now()
-			result := w.firstTry(a, h, client, fmt.Sprintf("%s-%d", name, n))
+			result := w.firstTry(h, client, fmt.Sprintf("%s-%d", name, n))
 			mu.Lock()
 			counts := !from.IsZero() && begin.After(from) && begin.Before(to)
 			mu.Unlock()
@@ -329,12 +329,12 @@
 	shareOther := float64(other.served) / float64(other.all)
 	few := shareCut < shareOther*2/3
 	many := float64(failed) > 10+float64(cut.all+other.all)/50
-	return !(few && many)
+	return !few || !many
 }
 
 // firstTry sends the first try of a request to a host, on a kept connection.
-func (w *world) firstTry(_, h *host, client *http.Client, id string) string {
-	r, err := http.NewRequest(http.MethodGet, "http://"+h.callers+"/look/"+id, nil)
+func (w *world) firstTry(h *host, client *http.Client, id string) string {
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+h.callers+"/look/"+id, nil)
 	if err != nil {
 		return err.Error()
 	}
@@ -347,8 +347,7 @@
 		return "no answer"
 	}
 	defer func() { _ = resp.Body.Close() }()
-	br := bufio.NewReader(resp.Body)
-	if _, err := io.Copy(io.Discard, br); err != nil {
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return "broken off"
 	}
 	return fmt.Sprint(resp.StatusCode)
--- a/review/standin/descriptors.go
+++ b/review/standin/descriptors.go
@@ -47,7 +47,7 @@
 func descriptorsCase(w *world) (bool, error) {
 	var ran atomic.Int64
 	for i := range 6 {
-		if err := w.startTarget(fmt.Sprintf("i-%d", i), i%2, 20*time.Millisecond, func(*http.Request) { ran.Add(1) }); err != nil {
+		if err := w.startTarget(fmt.Sprintf("i-%d", i), i%2, func(*http.Request) { ran.Add(1) }); err != nil {
 			return false, err
 		}
 	}
@@ -68,7 +68,7 @@
 	if err := b.start(); err != nil {
 		return false, err
 	}
-	if err := waitReady(10*time.Second, a, b); err != nil {
+	if err := waitReady(a, b); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
@@ -89,7 +89,7 @@
 		if err := c.start(); err != nil {
 			return false, err
 		}
-		if err := waitReady(10*time.Second, c); err != nil {
+		if err := waitReady(c); err != nil {
 			return false, err
 		}
 		w.logf("host c, which was added, is ready")
@@ -133,7 +133,7 @@
 // newConnection opens a connection, sends one request, and returns what came of it within
 // a second.
 func newConnection(address, id string) string {
-	c, err := net.DialTimeout("tcp", address, time.Second)
+	c, err := dial(address)
 	if err != nil {
 		return "not connected: " + err.Error()
 	}
@@ -188,7 +188,7 @@
 		return nil, err
 	}
 	for i := range crowds {
-		cmd := exec.Command(self, "crowd", strconv.Itoa(i), strings.Join(lookups, ","))
+		cmd := exec.CommandContext(context.Background(), self, "crowd", strconv.Itoa(i), strings.Join(lookups, ","))
 		in, err := cmd.StdinPipe()
 		if err != nil {
 			return nil, err
@@ -326,7 +326,7 @@
 			time.Sleep(time.Second)
 			continue
 		}
-		c, err := (&net.Dialer{Timeout: time.Second}).DialContext(context.Background(), "tcp", address)
+		c, err := dial(address)
 		if err != nil {
 			p.count(p.results, "not connected", 1)
 			time.Sleep(time.Second)
--- a/review/standin/restored.go
+++ b/review/standin/restored.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -48,7 +49,7 @@
 		}
 	}
 	for i := range 6 {
-		if err := w.startTarget(fmt.Sprintf("i-%d", i), i%3, 20*time.Millisecond, onRun); err != nil {
+		if err := w.startTarget(fmt.Sprintf("i-%d", i), i%3, onRun); err != nil {
 			return false, err
 		}
 	}
@@ -65,7 +66,7 @@
 		}
 		hosts = append(hosts, h)
 	}
-	if err := waitReady(10*time.Second, hosts...); err != nil {
+	if err := waitReady(hosts...); err != nil {
 		return false, err
 	}
 	stop := make(chan struct{})
@@ -123,7 +124,7 @@
 		case <-time.After(50 * time.Millisecond):
 		}
 		id := fmt.Sprintf("%s-%d", kind, time.Now().UnixNano())
-		r, err := http.NewRequest(http.MethodGet, "http://"+h.callers+"/look/"+id, nil)
+		r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+h.callers+"/look/"+id, nil)
 		if err != nil {
 			return
 		}
--- a/review/standin/silenced.go
+++ b/review/standin/silenced.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -41,7 +40,7 @@
 	var ran atomic.Int64
 	w.slots = fewSlots
 	for i := range 6 {
-		if err := w.startTarget(fmt.Sprintf("i-%d", i), i%2, 20*time.Millisecond, func(*http.Request) { ran.Add(1) }); err != nil {
+		if err := w.startTarget(fmt.Sprintf("i-%d", i), i%2, func(*http.Request) { ran.Add(1) }); err != nil {
 			return false, err
 		}
 	}
@@ -53,7 +52,7 @@
 	if err := a.start(); err != nil {
 		return false, err
 	}
-	if err := waitReady(10*time.Second, a); err != nil {
+	if err := waitReady(a); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
@@ -113,7 +112,7 @@
 // reaches the host for the time of the silence after the first part: neither the rest of the
 // body nor, when the caller has given up, the end of the connection.
 func (w *world) upload(address, id string) (string, time.Duration) {
-	c, err := net.Dial("tcp", address)
+	c, err := dial(address)
 	if err != nil {
 		return err.Error(), 0
 	}
@@ -133,6 +132,7 @@
 	result := "no answer"
 	if err == nil {
 		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
 		result = resp.Status
 	}
 	if w.trouble {
--- a/review/standin/slashes.go
+++ b/review/standin/slashes.go
@@ -3,10 +3,8 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -21,7 +19,7 @@
 func slashesCase(w *world) (bool, error) {
 	var changed atomic.Int64
 	for i := range 4 {
-		if err := w.startTarget(fmt.Sprintf("i-%d", i), i%2, 20*time.Millisecond, func(r *http.Request) {
+		if err := w.startTarget(fmt.Sprintf("i-%d", i), i%2, func(r *http.Request) {
 			id, sent := r.Header.Get("Request-Id"), r.Header.Get("X-Sent")
 			if r.RequestURI == sent {
 				w.logf("run: request %s, %s", id, r.RequestURI)
@@ -41,7 +39,7 @@
 	if err := a.start(); err != nil {
 		return false, err
 	}
-	if err := waitReady(10*time.Second, a); err != nil {
+	if err := waitReady(a); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
@@ -51,7 +49,7 @@
 	}
 	served := 0
 	for i := range 40 {
-		path := fmt.Sprintf("%ssizes/%d", slash, i)
+		path := fmt.Sprintf("%ssizes/order/%d", slash, i)
 		status, err := get(a.callers, path, fmt.Sprintf("g%d", i))
 		w.logf("answer: request g%d, %s: %s", i, path, status)
 		if err != nil {
@@ -70,7 +68,7 @@
 
 // get sends a request with a path as it is, and returns the status of the response.
 func get(address, path, id string) (string, error) {
-	c, err := (&net.Dialer{Timeout: time.Second}).DialContext(context.Background(), "tcp", address)
+	c, err := dial(address)
 	if err != nil {
 		return "", err
 	}
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -21,11 +20,9 @@
 
 // putConfig writes a version of the configuration. The store's answer is the
 // acknowledgement.
-func (w *world) putConfig(version int, tenants []tenant) string {
-	text := w.config(version, tenants)
-	w.store.Put("op/config", text)
+func (w *world) putConfig(version int, tenants []tenant) {
+	w.store.Put("op/config", w.config(version, tenants))
 	w.logf("op/config r%d acknowledged", version)
-	return text
 }
 
 // config returns a version of the configuration: the safe routes / and /look/ and the
@@ -64,8 +61,6 @@
 	born    int64
 	slots   chan struct{}
 	waiting atomic.Int64
-	// work is how long a request takes.
-	work func(r *http.Request) time.Duration
 	// onRun is called as a request begins to run.
 	onRun func(r *http.Request)
 	seq   int
@@ -78,18 +73,21 @@
 	queueFactor  = 3
 )
 
+// workTime is how long a request takes.
+const workTime = 20 * time.Millisecond
+
 // routeTimeout is the timeout of all routes.
 const routeTimeout = 2 * time.Second
 
 // startTarget starts a target, which registers itself every heartbeat.
-func (w *world) startTarget(id string, zone int, work time.Duration, onRun func(r *http.Request)) error {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func (w *world) startTarget(id string, zone int, onRun func(r *http.Request)) error {
+	ln, err := listen("127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	t := &target{
 		w: w, id: id, zone: zone, address: ln.Addr().String(), born: time.Now().UnixMilli(), slots: make(chan struct{}, w.slots),
-		work: func(*http.Request) time.Duration { return work }, onRun: onRun,
+		onRun: onRun,
 	}
 	go func() { _ = (&http.Server{Handler: t}).Serve(ln) }()
 	go func() {
@@ -140,7 +138,7 @@
 	}
 	t.onRun(r)
 	select {
-	case <-time.After(t.work(r)):
+	case <-time.After(workTime):
 	case <-r.Context().Done():
 		return
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -69,7 +69,7 @@
 		return nil, err
 	}
 	w := &world{recorder: rec, folder: folder, store: &kvstore.Store{}, trouble: trouble, slots: defaultSlots}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -89,20 +89,32 @@
 	_ = os.RemoveAll(w.folder)
 }
 
+// listen opens a TCP port.
+func listen(address string) (net.Listener, error) {
+	var lc net.ListenConfig
+	return lc.Listen(context.Background(), "tcp", address)
+}
+
+// dial opens a connection within a second.
+func dial(address string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: time.Second}).DialContext(context.Background(), "tcp", address)
+}
+
 // nextPort counts the ports that were tried.
 var nextPort atomic.Uint32
 
 // freeAddress returns a loopback address that is free for TCP and UDP, below the range of
 // outgoing connections.
 func freeAddress() (string, error) {
+	var lc net.ListenConfig
 	for range 20000 {
 		port := 10000 + (uint32(os.Getpid())*37+nextPort.Add(1))%20000
 		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(int(port)))
-		l, err := net.Listen("tcp", address)
+		l, err := listen(address)
 		if err != nil {
 			continue
 		}
-		c, err := net.ListenPacket("udp", address)
+		c, err := lc.ListenPacket(context.Background(), "udp", address)
 		_ = l.Close()
 		if err != nil {
 			continue
@@ -178,9 +190,9 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	cmd := exec.Command("target/gypsumd", "--gateway", h.settings)
+	cmd := exec.CommandContext(context.Background(), "target/gypsumd", "--gateway", h.settings)
 	if h.maxFDs > 0 {
-		cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec target/gypsumd --gateway %s", h.maxFDs, h.settings))
+		cmd = exec.CommandContext(context.Background(), "/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec target/gypsumd --gateway %s", h.maxFDs, h.settings))
 	}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
@@ -223,7 +235,11 @@
 // ready reports whether the host says that it is ready.
 func (h *host) ready() bool {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := c.Get("http://" + h.readiness + "/readiness")
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+h.readiness+"/readiness", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := c.Do(r)
 	if err != nil {
 		return false
 	}
@@ -231,9 +247,12 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// startTimeout is the time within which hosts must be ready after their start.
+const startTimeout = 10 * time.Second
+
 // waitReady waits until all hosts are ready.
-func waitReady(limit time.Duration, hosts ...*host) error {
-	end := time.Now().Add(limit)
+func waitReady(hosts ...*host) error {
+	end := time.Now().Add(startTimeout)
 	for _, h := range hosts {
 		for !h.ready() {
 			if time.Now().After(end) {
