--- a/review/standin/cut.go
+++ b/review/standin/cut.go
@@ -292,7 +292,9 @@
 		ps.cut()
 		w.logf("host a is cut off from %d targets", len(ps.all))
 	}
-	time.Sleep(cutTime)
+	time.Sleep(cutTime / 2)
+	w.logf("host a says that it is ready: %v", a.ready())
+	time.Sleep(cutTime / 2)
 	if w.trouble {
 		if err := ps.restore(); err != nil {
 			return false, err
