pkg/attestor, service/gateway: one place decides whether a request may be refused

Callers got 429 or 503, which promise that a request did not run, for requests that had run: when their connection broke while it ran and they sent it once more with the same ID; when a target's refusal was written once more for such a copy, or came from the address that had refused before with 421; when another host put Gypsum-Relay-Refused on another status, as builds before did, or passed a target's field of that name on; and an idempotent request that this host had sent got the 503 of the host to which it was passed on.

Cause: each place that said such a status judged by what it knew itself: the send, the relay, the check of the rate. The class: a promise made on part of the evidence.

pkg/attestor collects the evidence of a request and decides the status of each response.

Ruled out: bytes that are written and not counted (net/http waits for its writer before RoundTrip returns an error), and 408 for a request whose handler has begun.

--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 
+	"gypsumbeam.example/gypsumbeam/pkg/attestor"
 	"gypsumbeam.example/gypsumbeam/pkg/balancer"
 )
 
@@ -40,13 +41,18 @@
 		res.outcome = balancer.Result{Failed: true}
 		closeConnection(resp)
 		return res
+	case info.NotRun && !q.evidence.Believe(c.Address):
+		res.reason = "repeatedRefusal"
+		res.outcome = balancer.Result{Failed: true}
+		closeConnection(resp)
+		return res
 	case info.NotRun:
 		res.reason = "notRun"
 		res.notRun = true
 		res.outcome.Shed = !info.AddressReused
 		res.outcome.AddressReused = info.AddressReused
 		return res
-	case impliesNotRun(resp.StatusCode):
+	case attestor.PromisesNotRun(resp.StatusCode):
 		// The status would tell the caller that the request did not run, but the target
 		// did not say so.
 		res.reason = "promiseNotKept"
@@ -67,17 +73,6 @@
 	}
 }
 
-// impliesNotRun reports whether a status tells the caller that the request did not run.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable,
-		http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	default:
-		return false
-	}
-}
-
 // readBody reads the body of a response of up to maxBufferedBytes; longer ones are
 // streamed.
 func (q *request) readBody(res *result) *result {
--- a/service/gateway/handler.go
+++ b/service/gateway/handler.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"gypsumbeam.example/gypsumbeam/pkg/attestor"
 	"gypsumbeam.example/gypsumbeam/pkg/fingerprinter"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
 	"gypsumbeam.example/gypsumbeam/pkg/replayer"
@@ -56,7 +57,8 @@
 	closeConns atomic.Bool
 	rejecting  atomic.Bool
 	// relayed counts the requests from other hosts that are in progress.
-	relayed atomic.Int64
+	relayed  atomic.Int64
+	attestor attestor.Attestor
 }
 
 // New returns a Handler that is ready to serve.
@@ -88,6 +90,8 @@
 	// it may still be sent to.
 	fromHost bool
 	maxSends int
+	// evidence tells whether the request may have run.
+	evidence attestor.Evidence
 	record   Record
 }
 
@@ -103,14 +107,20 @@
 	if h.closeConns.Load() {
 		q.w.Header().Set("Connection", "close")
 	}
+	q.evidence = h.attestor.Open(attestor.NewKey(q.info.ID, q.r.Method, q.r.RequestURI, q.info.Key))
+	defer q.evidence.End()
 	if rej := q.prepare(); rej != nil {
 		q.reject(rej)
 		return
 	}
+	if !q.route.Kind.Idempotent() && !q.evidence.Begin() {
+		q.reject(&rejection{status: http.StatusBadGateway, reason: reasonCopy})
+		return
+	}
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.start.Add(q.record.Timeout))
 	defer cancel()
 	if q.mayRelay() {
-		q.relay(ctx, progress{notRun: true})
+		q.relay(ctx, progress{})
 		return
 	}
 	if rej := q.admit(); rej != nil { // the other host admits a relayed request
@@ -132,6 +142,9 @@
 // reasonLinkLost is the reason of an attempt that ended as the host was found to be cut off.
 const reasonLinkLost = "linkLost"
 
+// reasonCopy is the reason of a request of which a copy is in progress or may have run.
+const reasonCopy = "copy"
+
 // rejection is a response that this host generates itself.
 type rejection struct {
 	status     int
@@ -272,8 +285,12 @@
 	return ""
 }
 
-// reject writes a rejection to the caller and records it.
+// reject writes a rejection to the caller and records it. One that promises that the request
+// did not run is replaced unless that is certain.
 func (q *request) reject(rej *rejection) {
+	if status := q.evidence.Status(rej.status); status != rej.status {
+		rej = &rejection{status: status, reason: rej.reason}
+	}
 	if errors.Is(q.r.Context().Err(), context.Canceled) {
 		q.record.CallerGone = true
 	}
--- a/service/gateway/refusal_test.go
+++ b/service/gateway/refusal_test.go
@@ -2,13 +2,20 @@
 
 import (
 	"context"
-	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
 	"net/http"
+	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
 
+	"gypsumbeam.example/gypsumbeam/pkg/attestor"
+	"gypsumbeam.example/gypsumbeam/pkg/registrar"
 	"gypsumbeam.example/gypsumbeam/service/gateway"
 )
 
@@ -99,7 +106,7 @@
 			handler, fields = h.RelayedHandler(), []string{gateway.HeaderRelay, "2"}
 		}
 		rec := call(handler, http.MethodPost, path, "order", fields...)
-		refused := promisesNotRun(rec.Code) || fromHost && rec.Header().Get("Gypsum-Relay-Refused") != ""
+		refused := attestor.PromisesNotRun(rec.Code) || fromHost && rec.Header().Get("Gypsum-Relay-Refused") != ""
 		if refused && l.ran {
 			var names []string
 			for _, w := range append(own, hosts...) {
@@ -110,16 +117,6 @@
 	})
 }
 
-// promisesNotRun reports whether a status promises that the request did not run.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	default:
-		return false
-	}
-}
-
 // A request that ran is never refused with 408, 421, 429 or 503, whatever became of its sends
 // to targets and to other hosts, in any order.
 func TestNoRefusalOfRequestThatRan(t *testing.T) {
@@ -171,16 +168,79 @@
 // A refusal that a target writes once more on a kept connection must not be believed for a
 // request with the same ID, which ran.
 func TestRefusalIsBelievedOnceOnConnection(t *testing.T) {
-	for name, status := range map[string]string{"refused": "503 Service Unavailable", "address reused": "421 Misdirected Request"} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			d := &repeatingTarget{refusal: fmt.Sprintf("HTTP/1.1 %s\r\nShed: 1\r\nId: id-1\r\nContent-Length: 0\r\n\r\n", status)}
-			h, _, closeAll := newSingleTargetHandler(d.dial)
-			defer closeAll()
-			is.Equal(call(h, http.MethodPost, "/pay/1", "order").Code, http.StatusServiceUnavailable)
-			is.Equal(d.runs.Load(), int64(0))
-			is.Equal(call(h, http.MethodPost, "/pay/1", "order").Code, http.StatusBadGateway)
-			is.Equal(d.runs.Load(), int64(1))
+	is := is.New(t)
+	d := &repeatingTarget{refusal: "HTTP/1.1 503 Service Unavailable\r\nShed: 1\r\nId: id-1\r\nContent-Length: 0\r\n\r\n"}
+	h, _, closeAll := newSingleTargetHandler(d.dial)
+	defer closeAll()
+	is.Equal(call(h, http.MethodPost, "/pay/1", "order").Code, http.StatusServiceUnavailable)
+	is.Equal(d.runs.Load(), int64(0))
+	is.Equal(call(h, http.MethodPost, "/pay/1", "order").Code, http.StatusBadGateway)
+	is.Equal(d.runs.Load(), int64(1))
+}
+
+// A target at the address of one that refused with 421 is asked on the same connection: that
+// refusal, written once more, must not be believed for the second send.
+func TestRefusalIsBelievedOnceAtAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &repeatingTarget{refusal: "HTTP/1.1 421 Misdirected Request\r\nShed: 1\r\nId: id-1\r\nContent-Length: 0\r\n\r\n"}
+		h, lb, closeAll := newSingleTargetHandler(d.dial)
+		defer closeAll()
+		lb.SetTargets([]registrar.Target{
+			{ID: "one", Service: "a", Address: "10.0.0.1:1", Zone: "e1", Slots: 4},
+			{ID: "two", Service: "a", Address: "10.0.0.1:1", Zone: "e1", Slots: 4},
+		})
+		is.Equal(call(h, http.MethodPost, "/pay/1", "order").Code, http.StatusBadGateway)
+		is.Equal(d.runs.Load(), int64(1))
+	})
+}
+
+// The promise that a request did not run is made in few places: these, of all that serve
+// callers' requests. A further one must be added to TestNoRefusalOfRequestThatRan.
+func TestPlacesThatRefuse(t *testing.T) {
+	is := is.New(t)
+	want := []string{
+		"attestor.go PromisesNotRun", "handler.go admit", "handler.go isOfHost", "handler.go prepare", "head.go status", "relay.go relayExchange",
+		"serve.go giveUp",
+	}
+	var got []string
+	for _, folder := range []string{".", "../../pkg/attestor", "../../pkg/pipeliner", "../gatewayhost", "../../platform/daemon"} {
+		files, err := filepath.Glob(filepath.Join(folder, "*.go"))
+		is.NoErr(err)
+		for _, file := range files {
+			if !strings.HasSuffix(file, "_test.go") {
+				got = append(got, refusers(t, file)...)
+			}
+		}
+	}
+	slices.Sort(got)
+	is.Equal(slices.Compact(got), want)
+}
+
+// refusers returns the functions of a file that name a status that promises that a request did
+// not run.
+func refusers(t *testing.T, file string) []string {
+	is := is.New(t)
+	parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
+	is.NoErr(err)
+	var all []string
+	for _, d := range parsed.Decls {
+		ast.Inspect(d, func(n ast.Node) bool {
+			name := ""
+			switch n := n.(type) {
+			case *ast.SelectorExpr:
+				name = n.Sel.Name
+			case *ast.BasicLit:
+				name = n.Value
+			}
+			switch name {
+			case "StatusRequestTimeout", "StatusMisdirectedRequest", "StatusTooManyRequests", "StatusServiceUnavailable", "408", "421", "429", "503":
+				f, ok := d.(*ast.FuncDecl)
+				is.True(ok) // a status outside a function
+				all = append(all, filepath.Base(file)+" "+f.Name.Name)
+			}
+			return true
 		})
 	}
+	return all
 }
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"gypsumbeam.example/gypsumbeam/pkg/attestor"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
 )
 
@@ -91,17 +92,17 @@
 			break
 		}
 		res := q.relayTo(ctx, address, q.maxSends-p.sends)
-		if p.add(res); !res.notRun || ctx.Err() != nil {
+		if q.add(&p, res); res.usable || !res.notRun || ctx.Err() != nil {
 			break // the host may have used up all sends
 		}
 	}
 	switch {
 	case p.last == nil:
-		q.giveUp(ctx, p.notRun, reasonCutOff, retryAfterNotReady)
+		q.giveUp(ctx, reasonCutOff, retryAfterNotReady)
 	case p.last.usable:
 		q.writeResponse(p.last)
 	default:
-		q.giveUp(ctx, p.notRun, p.last.reason, retryAfterNotReady)
+		q.giveUp(ctx, p.last.reason, retryAfterNotReady)
 	}
 }
 
@@ -135,12 +136,13 @@
 		return q.failure(ctx, wrote)
 	}
 	res := &result{resp: resp}
-	if resp.Header.Get(headerRelayRefused) != "" {
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerRelayRefused) != "" {
 		res.reason, res.notRun = reasonCutOff, true
 		return res
 	}
 	if q.readBody(res); res.usable {
 		res.reason = "relayed"
+		res.notRun = attestor.PromisesNotRun(resp.StatusCode)
 	}
 	return res
 }
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -43,8 +43,6 @@
 
 // progress is how far a request has come that got no answer yet.
 type progress struct {
-	// notRun reports that it certainly did not run.
-	notRun bool
 	// sends counts the targets that it may have reached.
 	sends int
 	last  *result
@@ -55,11 +53,11 @@
 // targets, another host continues.
 func (q *request) serve(ctx context.Context) {
 	q.h.cfg.RetryBudget.RecordRequest(q.service, "", q.h.cfg.RetryRatio())
-	p := progress{notRun: true}
+	var p progress
 	var avoid []ids.Target
 	var pickErr error
 	for n := 0; n < q.maxSends; n++ {
-		if n > 0 && !q.mayRetry(ctx, p.notRun) {
+		if n > 0 && !q.mayRetry(ctx) {
 			break
 		}
 		if n > 0 && q.mayRelay() {
@@ -77,11 +75,11 @@
 		}
 		if reason := q.mayStillSend(); reason != "" {
 			choice.Done(balancer.Result{})
-			q.giveUp(ctx, p.notRun, reason, retryAfterNotReady)
+			q.giveUp(ctx, reason, retryAfterNotReady)
 			return
 		}
 		avoid = append(avoid, choice.Target)
-		if p.add(q.attempt(ctx, choice)); p.isOver(q.route) || ctx.Err() != nil {
+		if q.add(&p, q.attempt(ctx, choice)); p.isOver(q.route) || ctx.Err() != nil {
 			break
 		}
 	}
@@ -90,8 +88,8 @@
 
 // add takes in the result of a send. A target that this host is cut off from counts as not
 // reached, though it may have run the request.
-func (p *progress) add(res *result) {
-	p.notRun = p.notRun && res.notRun
+func (q *request) add(p *progress, res *result) {
+	q.evidence.Add(res.notRun)
 	if !res.notRun && res.reason != reasonLinkLost {
 		p.sends++
 	}
@@ -112,7 +110,7 @@
 	case p.last != nil && p.last.usable:
 		q.writeResponse(p.last)
 		return
-	case ctx.Err() == nil && pickErr == nil && q.mayRelay() && q.mayRetry(ctx, p.notRun):
+	case ctx.Err() == nil && pickErr == nil && q.mayRelay() && q.mayRetry(ctx):
 		q.relay(ctx, p) // the links were found lost by the last attempt
 		return
 	}
@@ -120,7 +118,7 @@
 	if p.last != nil && reason != reasonIsolated {
 		reason = p.last.reason
 	}
-	q.giveUp(ctx, p.notRun, reason, wait)
+	q.giveUp(ctx, reason, wait)
 }
 
 // explain returns the reason and the Retry-After time for a caller for whom Pick returned
@@ -161,11 +159,11 @@
 }
 
 // mayRetry reports whether another attempt is safe and within the retry budget.
-func (q *request) mayRetry(ctx context.Context, notRun bool) bool {
+func (q *request) mayRetry(ctx context.Context) bool {
 	if ctx.Err() != nil || !q.body.Replayable() {
 		return false
 	}
-	if !notRun && !q.route.Kind.Idempotent() {
+	if !q.route.Kind.Idempotent() && !q.evidence.NotRun() {
 		return false
 	}
 	return q.h.cfg.RetryBudget.AllowRetry(q.service, "")
@@ -201,12 +199,17 @@
 	return res
 }
 
-// writeResponse passes a target's response on to the caller.
+// writeResponse passes the response of a target or of another host on to the caller.
 func (q *request) writeResponse(res *result) {
+	if status := q.evidence.Status(res.resp.StatusCode); status != res.resp.StatusCode {
+		q.reject(&rejection{status: status, reason: res.reason})
+		return
+	}
 	header := q.w.Header()
 	for name, values := range endToEnd(res.resp.Header) {
 		header[name] = slices.Clone(values)
 	}
+	header.Del(headerRelayRefused) // only a host says that, of itself
 	if q.h.closeConns.Load() {
 		header.Set("Connection", "close")
 	}
@@ -255,8 +258,9 @@
 // giveUp responds to a request for which no target's response can be passed on. The
 // status is 503 if the request certainly did not run, or 400 if it is known to crash
 // targets.
-func (q *request) giveUp(ctx context.Context, notRun bool, reason string, wait time.Duration) {
+func (q *request) giveUp(ctx context.Context, reason string, wait time.Duration) {
 	rej := &rejection{status: http.StatusBadGateway, reason: reason}
+	notRun := q.evidence.NotRun()
 	switch {
 	case reason == "bodyTooLarge":
 		rej.status = http.StatusRequestEntityTooLarge
