pkg/pipeliner: the write deadline of one response does not outlast it

Callers whose connection was idle for over 10 s got 400 for an upload that asked by Expect: 100-continue, as the interim response was written with the deadline of the response before; error responses to unreadable heads were lost in the same way, and the last part of a chunked response that pauses for so long.

Cause: the deadline was set by the first writes of a response only. Each write sets it now.

--- a/pkg/pipeliner/conn.go
+++ b/pkg/pipeliner/conn.go
@@ -139,6 +139,12 @@
 	}
 }
 
+// extendWriteDeadline must be called before each write, as the deadline of an earlier one may
+// have passed.
+func (c *conn) extendWriteDeadline() {
+	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) // A closed connection fails the write.
+}
+
 func (c *conn) hasActive() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -203,6 +209,7 @@
 		select {
 		case <-turn:
 			c.setClosing()
+			c.extendWriteDeadline()
 			writeStatus(c.bw, status)
 		case <-c.ctx.Done():
 		}
--- a/pkg/pipeliner/exchange.go
+++ b/pkg/pipeliner/exchange.go
@@ -1,7 +1,6 @@
 package pipeliner
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -114,6 +113,7 @@
 	if ex.failed || ex.remaining > 0 {
 		return false
 	}
+	ex.c.extendWriteDeadline()
 	if ex.chunked != nil {
 		if ex.chunked.Close() != nil {
 			return false
@@ -146,7 +146,7 @@
 	}
 	ex.c.beginResponse()
 	ex.setFraming()
-	_ = ex.c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) // A closed connection fails the write.
+	ex.c.extendWriteDeadline()
 	w := ex.c.bw
 	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	err := ex.header.Write(w)
@@ -198,7 +198,7 @@
 		ex.failed = true
 		return 0, ErrBodyLength
 	}
-	_ = ex.c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	ex.c.extendWriteDeadline()
 	n, err := ex.bodyWriter().Write(p)
 	if ex.remaining > 0 {
 		ex.remaining -= int64(n)
@@ -218,7 +218,11 @@
 
 // Flush implements http.Flusher.
 func (ex *exchange) Flush() {
-	if ex.status != 0 && !ex.failed && ex.c.bw.Flush() != nil {
+	if ex.status == 0 || ex.failed {
+		return
+	}
+	ex.c.extendWriteDeadline()
+	if ex.c.bw.Flush() != nil {
 		ex.failed = true
 	}
 }
@@ -284,11 +288,9 @@
 	if b.ex.responseStarted.Load() {
 		return ErrBodyLength // The response has begun; an interim one cannot follow.
 	}
-	w := bufio.NewWriter(b.ex.c.nc)
-	if _, err := w.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-		return err
-	}
-	return w.Flush()
+	b.ex.c.extendWriteDeadline()
+	_, err := b.ex.c.nc.Write(continueResponse)
+	return err
 }
 
 // Close implements io.Closer. The connection discards the unread rest.
--- a/pkg/pipeliner/halfclose.go
+++ b/pkg/pipeliner/halfclose.go
@@ -44,7 +44,7 @@
 	if c.writingResponse || c.active == 0 {
 		return true
 	}
-	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) // A closed connection fails the write.
+	c.extendWriteDeadline()
 	_, err := c.nc.Write(continueResponse)
 	return err == nil
 }
