pkg/pipeliner: a host that ran out of descriptors accepts connections again

Callers found a host that said that it was ready and took no connection ever again: Serve returned for good at the first EMFILE. Accepting goes on after errors that can pass, with a pause of 20 ms; when descriptors have run out, the connections that have been idle longest are closed first. Any other error is logged.

--- a/pkg/pipeliner/conn.go
+++ b/pkg/pipeliner/conn.go
@@ -23,8 +23,12 @@
 	cancel     context.CancelFunc
 
 	mu sync.Mutex
-	// active counts the requests whose responses are not written yet.
-	active int
+	// active counts the requests whose responses are not written yet, and lastActive is
+	// when that was last above 0.
+	active     int
+	lastActive time.Time
+	// reading is set while a request head is being read.
+	reading bool
 	// closing is set once no further request may begin.
 	closing bool
 	// writingResponse is set while a response is being written.
@@ -60,7 +64,7 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{server: s, nc: nc, headReader: &headReader{r: nc, remaining: -1}}
+	c := &conn{server: s, nc: nc, headReader: &headReader{r: nc, remaining: -1}, lastActive: time.Now()}
 	c.br = bufio.NewReaderSize(c.headReader, bufferBytes)
 	c.bw = bufio.NewWriterSize(nc, bufferBytes)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -112,6 +116,8 @@
 			return nil, err
 		}
 	}
+	c.setReading(true)
+	defer c.setReading(false)
 	_ = c.nc.SetReadDeadline(time.Now().Add(bounds.HeaderTimeout))
 	c.headReader.remaining = max(bounds.MaxHeaderBytes-c.br.Buffered(), 0) + headExtraBytes
 	r, err := http.ReadRequest(c.br)
@@ -168,6 +174,31 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.active--
+	c.lastActive = time.Now()
+}
+
+// idleSince returns since when the connection has been idle, and false if it is in use.
+func (c *conn) idleSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastActive, c.active == 0 && !c.reading
+}
+
+// closeIfIdle closes the connection, unless it has come into use.
+func (c *conn) closeIfIdle() {
+	c.mu.Lock()
+	idle := c.active == 0 && !c.reading
+	c.closing = c.closing || idle
+	c.mu.Unlock()
+	if idle {
+		c.abort()
+	}
+}
+
+func (c *conn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
 }
 
 // setClosing prevents further requests from beginning.
--- a/pkg/pipeliner/pipeliner.go
+++ b/pkg/pipeliner/pipeliner.go
@@ -13,8 +13,12 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/apex/log"
 )
 
 const (
@@ -27,6 +31,11 @@
 	// response.
 	lingerTime  = time.Second
 	lingerBytes = 4 << 20
+	// acceptPause is the pause after a connection could not be accepted, and
+	// idleConnsToClose the number of idle connections that are closed if that is for lack
+	// of descriptors.
+	acceptPause      = 20 * time.Millisecond
+	idleConnsToClose = 16
 )
 
 // Defaults of Bounds.
@@ -75,7 +84,8 @@
 }
 
 // Serve accepts connections from l until Close or StopListening is called, or until
-// accepting fails. It may be called once.
+// accepting fails for good. Errors that can pass, as when descriptors run out, only make it
+// pause. It may be called once.
 func (s *Server) Serve(l net.Listener) {
 	defer close(s.done)
 	s.mu.Lock()
@@ -83,14 +93,58 @@
 	s.mu.Unlock()
 	for {
 		nc, err := l.Accept()
-		if err != nil {
-			var temporary net.Error
-			if errors.As(err, &temporary) && temporary.Timeout() {
-				continue
+		if err == nil {
+			s.start(nc)
+			continue
+		}
+		if !canPass(err) {
+			if !errors.Is(err, net.ErrClosed) {
+				log.WithError(err).Error("accepting connections failed; no more are accepted")
 			}
 			return
 		}
-		s.start(nc)
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			s.closeIdle(idleConnsToClose)
+		}
+		log.WithError(err).Warn("accepting a connection failed")
+		time.Sleep(acceptPause)
+	}
+}
+
+// canPass reports whether accepting may succeed after an error.
+func canPass(err error) bool {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return true
+	}
+	for _, passing := range []error{
+		syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ECONNRESET, syscall.ENOBUFS, syscall.ENOMEM, syscall.EINTR, syscall.EPROTO,
+	} {
+		if errors.Is(err, passing) {
+			return true
+		}
+	}
+	return false
+}
+
+// closeIdle closes the connections that have been idle longest, at most n. No request is lost
+// by that: what they bring next is not read.
+func (s *Server) closeIdle(n int) {
+	type idleConn struct {
+		c     *conn
+		since time.Time
+	}
+	var idle []idleConn
+	s.mu.Lock()
+	for c := range s.conns {
+		if since, ok := c.idleSince(); ok {
+			idle = append(idle, idleConn{c, since})
+		}
+	}
+	s.mu.Unlock()
+	slices.SortFunc(idle, func(a, b idleConn) int { return a.since.Compare(b.since) })
+	for _, i := range idle[:min(n, len(idle))] {
+		i.c.closeIfIdle()
 	}
 }
 
