pkg/pipeliner: heads and pipelined requests are bounded in number and lines

Many callers at once that send without end took a host of 184 MB over its memory: each request that is sent before earlier ones are answered ran at once, without a bound, and a head of many short fields takes some twenty times its bytes.

A head has 1,000 lines at most; 128 heads at once may be longer than the read buffer, and 256 requests at once may begin before their turn; further ones wait.

--- a/pkg/pipeliner/conn.go
+++ b/pkg/pipeliner/conn.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -38,33 +40,70 @@
 	noInterim bool
 }
 
-// headReader bounds the bytes that are read for one request head. If remaining is
-// negative, there is no bound.
+// headReader bounds the bytes and the lines that are read for one request head. If remaining
+// is negative, there is no bound.
 type headReader struct {
-	r         io.Reader
-	remaining int
+	r                io.Reader
+	remaining, lines int
+	// heads has room for the heads that may exceed the read buffer at once, and holds is set
+	// while this one takes up room. The wait for room ends at deadline.
+	heads    chan struct{}
+	holds    bool
+	deadline time.Time
+	read     int
 }
 
 // errHeadTooLarge is returned by headReader when the bound is reached.
 var errHeadTooLarge = errors.New("the request head is too large")
 
+// begin bounds the head that is read next, until end.
+func (l *headReader) begin(maxBytes int, deadline time.Time) {
+	l.remaining, l.lines, l.read, l.deadline = maxBytes, maxHeadLines, 0, deadline
+}
+
+// waitForRoom returns an error if there is no room for a large head until the deadline.
+func (l *headReader) waitForRoom() error {
+	t := time.NewTimer(time.Until(l.deadline))
+	defer t.Stop()
+	select {
+	case l.heads <- struct{}{}:
+		l.holds = true
+		return nil
+	case <-t.C:
+		return os.ErrDeadlineExceeded
+	}
+}
+
+func (l *headReader) end() {
+	l.remaining = -1
+	if l.holds {
+		<-l.heads
+		l.holds = false
+	}
+}
+
 // Read implements io.Reader.
 func (l *headReader) Read(p []byte) (int, error) {
-	if l.remaining == 0 {
-		return 0, errHeadTooLarge
+	if l.remaining < 0 {
+		return l.r.Read(p)
 	}
-	if l.remaining > 0 && len(p) > l.remaining {
-		p = p[:l.remaining]
+	if l.remaining == 0 || l.lines <= 0 {
+		return 0, errHeadTooLarge
 	}
-	n, err := l.r.Read(p)
-	if l.remaining > 0 {
-		l.remaining -= n
+	if l.read >= bufferBytes && !l.holds {
+		if err := l.waitForRoom(); err != nil {
+			return 0, err
+		}
 	}
+	n, err := l.r.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	l.read += n
+	l.lines -= bytes.Count(p[:n], []byte{'\n'})
 	return n, err
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{server: s, nc: nc, headReader: &headReader{r: nc, remaining: -1}, lastActive: time.Now()}
+	c := &conn{server: s, nc: nc, headReader: &headReader{r: nc, remaining: -1, heads: s.heads}, lastActive: time.Now()}
 	c.br = bufio.NewReaderSize(c.headReader, bufferBytes)
 	c.bw = bufio.NewWriterSize(nc, bufferBytes)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -85,11 +124,14 @@
 		}
 		done := make(chan struct{})
 		ex := newExchange(c, r, turn, done)
-		if !mayRunEarly(r) && !ex.waitForTurn() {
-			return
+		if !mayRunEarly(r) || !ex.startEarly() {
+			if !ex.waitForTurn() {
+				return
+			}
 		}
 		if !c.beginRequest() {
 			// An earlier response closes the connection; this request is dropped.
+			ex.endEarly()
 			return
 		}
 		go ex.run()
@@ -118,10 +160,11 @@
 	}
 	c.setReading(true)
 	defer c.setReading(false)
-	_ = c.nc.SetReadDeadline(time.Now().Add(bounds.HeaderTimeout))
-	c.headReader.remaining = max(bounds.MaxHeaderBytes-c.br.Buffered(), 0) + headExtraBytes
+	deadline := time.Now().Add(bounds.HeaderTimeout)
+	_ = c.nc.SetReadDeadline(deadline)
+	c.headReader.begin(max(bounds.MaxHeaderBytes-c.br.Buffered(), 0)+headExtraBytes, deadline)
 	r, err := http.ReadRequest(c.br)
-	c.headReader.remaining = -1
+	c.headReader.end()
 	if err != nil {
 		return nil, &ErrHead{Err: err}
 	}
--- a/pkg/pipeliner/exchange.go
+++ b/pkg/pipeliner/exchange.go
@@ -45,6 +45,8 @@
 	chunked         io.WriteCloser
 	closeAfter      bool
 	failed          bool
+	// early is set if the request began before the earlier responses were written.
+	early bool
 }
 
 func newExchange(c *conn, r *http.Request, turn <-chan struct{}, done chan struct{}) *exchange {
@@ -70,10 +72,35 @@
 	}
 }
 
+// startEarly reports whether the request may begin before the earlier responses are written,
+// as there is room for it, or has its turn.
+func (ex *exchange) startEarly() bool {
+	select {
+	case <-ex.turn:
+		return true
+	default:
+	}
+	select {
+	case ex.c.server.early <- struct{}{}:
+		ex.early = true
+		return true
+	default:
+		return false
+	}
+}
+
+// endEarly makes room for another request to begin early.
+func (ex *exchange) endEarly() {
+	if ex.early {
+		<-ex.c.server.early
+	}
+}
+
 // run calls the handler and finishes the response.
 func (ex *exchange) run() {
 	defer close(ex.done)
 	defer ex.c.endRequest()
+	defer ex.endEarly()
 	ctx, cancel := context.WithCancel(ex.c.ctx)
 	defer cancel()
 	ex.closeAfter = ex.r.Close
--- a/pkg/pipeliner/pipeliner.go
+++ b/pkg/pipeliner/pipeliner.go
@@ -24,6 +24,14 @@
 const (
 	// bufferBytes is the size of a connection's read buffer and write buffer.
 	bufferBytes = 4 << 10
+	// maxHeadLines bounds the lines of a request head, as each field takes more memory than
+	// its bytes.
+	maxHeadLines = 1000
+	// maxLargeHeads is the number of heads that may exceed the read buffer at once, and
+	// maxEarly that of requests that begin before earlier ones of their connections are
+	// answered. Further ones wait.
+	maxLargeHeads = 128
+	maxEarly      = 256
 	// headExtraBytes is by how much a request head may exceed MaxHeaderBytes before
 	// the connection is given up, so that a response can still be written.
 	headExtraBytes = 4 << 10
@@ -70,6 +78,8 @@
 // Server serves callers' connections. Its methods are safe for concurrent use.
 type Server struct {
 	cfg Config
+	// heads and early hold an element for each large head and each early request.
+	heads, early chan struct{}
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -80,7 +90,10 @@
 
 // New returns a Server that is ready for Serve.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg, conns: make(map[*conn]struct{}), done: make(chan struct{})}
+	return &Server{
+		cfg: cfg, conns: make(map[*conn]struct{}), done: make(chan struct{}),
+		heads: make(chan struct{}, maxLargeHeads), early: make(chan struct{}, maxEarly),
+	}
 }
 
 // Serve accepts connections from l until Close or StopListening is called, or until
