service/targets, service/gateway: headers of 16 KiB, and no buffer for a response under way

Many targets that respond without end took a host of 184 MB over its memory: with fields, whose headers were bounded at 64 KiB of bytes, and with bodies, whose first 64 KiB were kept while slow callers read the rest.

--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -223,6 +223,7 @@
 	}
 	q.w.WriteHeader(res.resp.StatusCode)
 	_, err := q.w.Write(res.body)
+	res.body = nil // a long response may take long to be passed on
 	if err == nil && res.stream {
 		err = q.copyRest(res)
 	}
--- a/service/targets/sender.go
+++ b/service/targets/sender.go
@@ -158,7 +158,7 @@
 
 // maxResponseHeaderBytes bounds the header of a response, as a faulty target may send
 // an endless one.
-const maxResponseHeaderBytes = 64 << 10
+const maxResponseHeaderBytes = 16 << 10
 
 func (s *Sender) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.ConnectTimeout)
