pkg/gatewaysettings, platform/daemon: a host knows its memory

machine.memoryMb sets the memory above seven tenths of which garbage is collected more often, so that a burst does not take the heap to twice what is in use.

--- a/pkg/gatewaysettings/gatewaysettings.go
+++ b/pkg/gatewaysettings/gatewaysettings.go
@@ -45,8 +45,18 @@
 	Cores float64 `json:"cores"`
 	// LinkMbps is the bandwidth of the network link in Mbit/s.
 	LinkMbps float64 `json:"linkMbps"`
+	// MemoryMB is the memory that the process may use, in MiB.
+	MemoryMB float64 `json:"memoryMb"`
 }
 
+// memoryShare is the part of the memory that the heap and its overhead may take. The rest is
+// for what was received and not read, and for stacks of the system.
+const memoryShare = 0.7
+
+// MemoryLimit returns the bytes beyond which the process should collect garbage, or 0 if the
+// memory is unknown.
+func (m Machine) MemoryLimit() int64 { return int64(m.MemoryMB * memoryShare * (1 << 20)) }
+
 // Capacity returns a number that ranks hosts by their resources, the product of cores
 // and bandwidth.
 func (m Machine) Capacity() float64 { return m.Cores * m.LinkMbps }
@@ -124,7 +134,7 @@
 	for _, m := range []struct {
 		path  string
 		value float64
-	}{{"machine.cores", s.Machine.Cores}, {"machine.linkMbps", s.Machine.LinkMbps}, {"bounds.rateExcess", s.Bounds.RateExcess}, {"bounds.rateSlack", s.Bounds.RateSlack}} {
+	}{{"machine.cores", s.Machine.Cores}, {"machine.linkMbps", s.Machine.LinkMbps}, {"machine.memoryMb", s.Machine.MemoryMB}, {"bounds.rateExcess", s.Bounds.RateExcess}, {"bounds.rateSlack", s.Bounds.RateSlack}} {
 		if m.value < 0 {
 			d.AddFault(m.path, fmt.Sprintf("must not be negative, but is %v", m.value))
 		}
