service/gateway: a path that begins with two slashes reaches the target unchanged

A request for //sizes/order/7 reached its target as http://sizes/order/7 (UNASKED): net/http takes an opaque URL that begins with two slashes for one with a host. Such a path is given as a path, with its encoding as it came; one that can't be written so, as it has characters that must be escaped, is refused with 400.

--- a/service/gateway/forward.go
+++ b/service/gateway/forward.go
@@ -42,6 +42,24 @@
 	return q.outgoing(ctx, c.Address, header)
 }
 
+// targetURL returns the URL for a request to an address whose request target is exactly the
+// given one. It returns false if there is none: net/http can't write a path that begins with
+// two slashes and has characters that must be escaped.
+func targetURL(address, target string) (*url.URL, bool) {
+	u := &url.URL{Scheme: "http", Host: address}
+	if !strings.HasPrefix(target, "//") {
+		u.Opaque = target
+		return u, true
+	}
+	path, query, hasQuery := strings.Cut(target, "?")
+	decoded, err := url.PathUnescape(path)
+	if err != nil {
+		return nil, false
+	}
+	u.Path, u.RawPath, u.RawQuery, u.ForceQuery = decoded, path, query, hasQuery
+	return u, u.RequestURI() == target
+}
+
 // requestTarget returns a request's path and query as the caller sent them.
 func requestTarget(uri string) string {
 	if strings.HasPrefix(uri, "/") {
--- a/service/gateway/gateway_test.go
+++ b/service/gateway/gateway_test.go
@@ -149,6 +149,7 @@
 			{Name: "read", Host: "h", Prefix: "/read/", Shares: share, MaxAttempts: 2, Timeout: 500 * time.Millisecond},
 			{Name: "pay", Host: "h", Prefix: "/pay/", Kind: router.NonIdempotent, Shares: share, MaxAttempts: 2},
 			{Name: "open", Host: "h", Prefix: "/open/", Shares: share, MaxAttempts: 1, Open: true},
+			{Name: "slashes", Host: "h", Prefix: "//", Shares: share, MaxAttempts: 1},
 			{Name: "home", Host: "h", Prefix: "/home/", Shares: share, MaxAttempts: 2, HomeRegions: []ids.Region{"west"}},
 		},
 		Workspaces: []router.Workspace{{Name: "school", Keys: []string{"k"}}},
--- a/service/gateway/handler.go
+++ b/service/gateway/handler.go
@@ -220,6 +220,8 @@
 	switch {
 	case q.r.Method == http.MethodConnect, q.r.Method == http.MethodTrace, q.r.Header.Get("Upgrade") != "":
 		return &rejection{status: http.StatusMethodNotAllowed, reason: "method"}
+	case !isWritable(requestTarget(q.r.RequestURI)):
+		return &rejection{status: http.StatusBadRequest, reason: "path"}
 	case !q.r.ProtoAtLeast(1, 1):
 		return &rejection{status: http.StatusHTTPVersionNotSupported, reason: "protocol"}
 	case q.router.Limits.MaxBodyBytes > 0 && q.r.ContentLength > q.router.Limits.MaxBodyBytes:
@@ -229,6 +231,12 @@
 	}
 }
 
+// isWritable reports whether a request target can be sent on unchanged.
+func isWritable(target string) bool {
+	_, ok := targetURL("", target)
+	return ok
+}
+
 // authenticate sets the workspace that owns the key. Open routes accept requests
 // without a key and with an unknown key.
 func (q *request) authenticate() *rejection {
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -161,7 +160,7 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""} // keeps net/http from adding its own
 	}
-	u := &url.URL{Scheme: "http", Host: address, Opaque: requestTarget(q.r.RequestURI)}
+	u, _ := targetURL(address, requestTarget(q.r.RequestURI)) // validate has rejected others
 	r := &http.Request{
 		Method: q.r.Method, URL: u, Host: q.r.Host, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: q.r.ContentLength,
