--- a/pkg/pipeliner/pipeliner.go
+++ b/pkg/pipeliner/pipeliner.go
@@ -39,11 +39,12 @@
 	// response.
 	lingerTime  = time.Second
 	lingerBytes = 4 << 20
-	// acceptPause is the pause after a connection could not be accepted, and
-	// idleConnsToClose the number of idle connections that are closed if that is for lack
-	// of descriptors.
-	acceptPause      = 20 * time.Millisecond
-	idleConnsToClose = 16
+	// acceptPause is the pause after a connection could not be accepted, acceptLogInterval
+	// the time between two log lines about that, and idleConnsToClose the number of idle
+	// connections that are closed if that is for lack of descriptors.
+	acceptPause       = 20 * time.Millisecond
+	acceptLogInterval = time.Second
+	idleConnsToClose  = 16
 )
 
 // Defaults of Bounds.
@@ -104,6 +105,7 @@
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
+	var logged time.Time
 	for {
 		nc, err := l.Accept()
 		if err == nil {
@@ -119,7 +121,10 @@
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 			s.closeIdle(idleConnsToClose)
 		}
-		log.WithError(err).Warn("accepting a connection failed")
+		if time.Since(logged) >= acceptLogInterval {
+			logged = time.Now()
+			log.WithError(err).Warn("accepting connections failed; trying again")
+		}
 		time.Sleep(acceptPause)
 	}
 }
