service/gateway: a refusal that is replaced is closed; the URL of a request is made once

The body of another host's refusal of over 64 KiB that is replaced by 502 stayed open until the request's context ended: TestRefusalThatIsReplacedIsClosed failed before. The URL was made twice for each request and its key by way of a slice; a URL is made once now and gets the address at each send.

--- a/pkg/attestor/attestor.go
+++ b/pkg/attestor/attestor.go
@@ -40,9 +40,10 @@
 	}
 	var h maphash.Hash
 	h.SetSeed(seed)
-	for _, p := range append([]string{id}, parts...) {
-		_, _ = h.WriteString(p) // it never fails
+	_, _ = h.WriteString(id) // it never fails
+	for _, p := range parts {
 		_ = h.WriteByte(0)
+		_, _ = h.WriteString(p)
 	}
 	return Key(max(h.Sum64(), 1))
 }
--- a/service/gateway/forward.go
+++ b/service/gateway/forward.go
@@ -42,11 +42,10 @@
 	return q.outgoing(ctx, c.Address, header)
 }
 
-// targetURL returns the URL for a request to an address whose request target is exactly the
-// given one. It returns false if there is none: net/http can't write a path that begins with
+// targetURL returns a URL without an address whose request target is exactly the given one. It returns false if there is none: net/http can't write a path that begins with
 // two slashes and has characters that must be escaped.
-func targetURL(address, target string) (*url.URL, bool) {
-	u := &url.URL{Scheme: "http", Host: address}
+func targetURL(target string) (*url.URL, bool) {
+	u := &url.URL{Scheme: "http"}
 	if !strings.HasPrefix(target, "//") {
 		u.Opaque = target
 		return u, true
--- a/service/gateway/handler.go
+++ b/service/gateway/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -84,6 +85,8 @@
 	service ids.Service
 	start   time.Time
 	body    *replayer.Replayer
+	// url is the URL to send the request to, without the address.
+	url *url.URL
 	// head is the hash of the request without its body, 0 if it was not needed yet.
 	head fingerprinter.Hash
 	// fromHost is set if another host relayed the request, with the number of targets that
@@ -220,7 +223,7 @@
 	switch {
 	case q.r.Method == http.MethodConnect, q.r.Method == http.MethodTrace, q.r.Header.Get("Upgrade") != "":
 		return &rejection{status: http.StatusMethodNotAllowed, reason: "method"}
-	case !isWritable(requestTarget(q.r.RequestURI)):
+	case !q.setURL():
 		return &rejection{status: http.StatusBadRequest, reason: "path"}
 	case !q.r.ProtoAtLeast(1, 1):
 		return &rejection{status: http.StatusHTTPVersionNotSupported, reason: "protocol"}
@@ -231,9 +234,10 @@
 	}
 }
 
-// isWritable reports whether a request target can be sent on unchanged.
-func isWritable(target string) bool {
-	_, ok := targetURL("", target)
+// setURL sets the URL to send the request to. It returns false if there is none that passes on
+// the caller's request target unchanged.
+func (q *request) setURL() (ok bool) {
+	q.url, ok = targetURL(requestTarget(q.r.RequestURI))
 	return ok
 }
 
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -160,9 +160,10 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""} // keeps net/http from adding its own
 	}
-	u, _ := targetURL(address, requestTarget(q.r.RequestURI)) // validate has rejected others
+	u := *q.url
+	u.Host = address
 	r := &http.Request{
-		Method: q.r.Method, URL: u, Host: q.r.Host, Header: header,
+		Method: q.r.Method, URL: &u, Host: q.r.Host, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: q.r.ContentLength,
 	}
 	if q.r.ContentLength != 0 || !q.route.Kind.Idempotent() {
--- a/service/gateway/relay_test.go
+++ b/service/gateway/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -175,3 +176,32 @@
 		is.True(time.Since(start) >= 280*time.Millisecond)
 	})
 }
+
+// closeRecorder records that a body is closed.
+type closeRecorder struct {
+	io.Reader
+	closed bool
+}
+
+func (c *closeRecorder) Close() error {
+	c.closed = true
+	return nil
+}
+
+// The body of a long refusal of another host that can't be passed on, as the request may have
+// run before, is closed.
+func TestRefusalThatIsReplacedIsClosed(t *testing.T) {
+	withHandler(t, nil, func(env *environment, h *gateway.Handler) {
+		is := is.New(t)
+		body := &closeRecorder{Reader: strings.NewReader(strings.Repeat("x", 100<<10))}
+		env.sender.replies = []reply{func(ctx context.Context, r *http.Request) (*http.Response, bool, error) {
+			env.links.cutOff.Store(true)
+			return connectionLost(true)(ctx, r)
+		}}
+		env.hosts = fakeRelayer{fakeSender{replies: []reply{func(context.Context, *http.Request) (*http.Response, bool, error) {
+			return &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{}, Body: body, ContentLength: 100 << 10}, true, nil
+		}}}, []string{"h1"}, nil}
+		is.Equal(call(h, http.MethodGet, "/read/1", "").Code, http.StatusBadGateway)
+		is.True(body.closed)
+	})
+}
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -202,6 +202,9 @@
 // writeResponse passes the response of a target or of another host on to the caller.
 func (q *request) writeResponse(res *result) {
 	if status := q.evidence.Status(res.resp.StatusCode); status != res.resp.StatusCode {
+		if res.release != nil {
+			res.release()
+		}
 		q.reject(&rejection{status: status, reason: res.reason})
 		return
 	}
