service/gateway: the list of places that refuse covers the whole module, with what each rests on

On reading the change again: the test looked at five folders, by file names. Each function of pkg, platform and service that names 408, 421, 429 or 503 is listed now, with what its promise rests on; one that is not listed, or is gone, fails the test.

--- a/service/gateway/refusal_test.go
+++ b/service/gateway/refusal_test.go
@@ -5,9 +5,9 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"io/fs"
 	"net/http"
 	"path/filepath"
-	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -195,26 +195,55 @@
 	})
 }
 
-// The promise that a request did not run is made in few places: these, of all that serve
-// callers' requests. A further one must be added to TestNoRefusalOfRequestThatRan.
+// refusingPlaces are the functions of the module that name a status that promises that a request
+// did not run, each with what the promise rests on.
+var refusingPlaces = map[string]string{
+	"pkg/attestor PromisesNotRun":      "decides on all responses of this package",
+	"service/gateway prepare":          "nothing is sent yet; attestor",
+	"service/gateway admit":            "nothing is sent yet; attestor",
+	"service/gateway isOfHost":         "reads the status that attestor left",
+	"service/gateway giveUp":           "attestor",
+	"service/gateway relayExchange":    "reads another host's status; attestor",
+	"pkg/pipeliner status":             "408 for a head that did not come whole: no handler knows of it",
+	"platform/translator ReadResponse": "reads a target's status",
+	"platform/mirror rejectStale":      "a call of another host for the copy of the store: no request of a caller",
+	"platform/mirror serveWatch":       "as rejectStale",
+	"platform/mirror changesAfter":     "as rejectStale",
+	"platform/responder serveLookup":   "a look-up: no request of a caller",
+	"platform/responder Readiness":     "a readiness check: no request of a caller",
+	"platform/kvstore watch":           "the stand-in of the store",
+	"service/operators abandon":        "a call of an operator, own mode",
+	"service/operators ready":          "as abandon",
+	"service/operators applyProblem":   "as abandon",
+	"service/callers wasShed":          "own mode: reads a target's status",
+	"service/callers closed":           "own mode: nothing is sent yet; docs/design/requests-and-truth.md",
+	"pkg/refusal RateExceeded":         "own mode: as closed",
+	"pkg/refusal Unavailable":          "own mode: as closed",
+}
+
+// The promise that a request did not run is made in few places. A further one that serves
+// callers' requests must be added to TestNoRefusalOfRequestThatRan.
 func TestPlacesThatRefuse(t *testing.T) {
 	is := is.New(t)
-	want := []string{
-		"attestor.go PromisesNotRun", "handler.go admit", "handler.go isOfHost", "handler.go prepare", "head.go status", "relay.go relayExchange",
-		"serve.go giveUp",
-	}
-	var got []string
-	for _, folder := range []string{".", "../../pkg/attestor", "../../pkg/pipeliner", "../gatewayhost", "../../platform/daemon"} {
-		files, err := filepath.Glob(filepath.Join(folder, "*.go"))
-		is.NoErr(err)
-		for _, file := range files {
-			if !strings.HasSuffix(file, "_test.go") {
-				got = append(got, refusers(t, file)...)
+	got := make(map[string]bool)
+	for _, top := range []string{"pkg", "platform", "service"} {
+		is.NoErr(filepath.WalkDir(filepath.Join("../..", top), func(file string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(file, ".go") || strings.HasSuffix(file, "_test.go") {
+				return err
 			}
+			folder := filepath.ToSlash(strings.TrimPrefix(filepath.Dir(file), "../../"))
+			for _, name := range refusers(t, file) {
+				got[folder+" "+name] = true
+			}
+			return nil
+		}))
+	}
+	for place := range got {
+		if refusingPlaces[place] == "" {
+			t.Errorf("%s refuses requests, and is not listed", place)
 		}
 	}
-	slices.Sort(got)
-	is.Equal(slices.Compact(got), want)
+	is.Equal(len(got), len(refusingPlaces)) // a listed place is gone
 }
 
 // refusers returns the functions of a file that name a status that promises that a request did
@@ -237,7 +266,7 @@
 			case "StatusRequestTimeout", "StatusMisdirectedRequest", "StatusTooManyRequests", "StatusServiceUnavailable", "408", "421", "429", "503":
 				f, ok := d.(*ast.FuncDecl)
 				is.True(ok) // a status outside a function
-				all = append(all, filepath.Base(file)+" "+f.Name.Name)
+				all = append(all, f.Name.Name)
 			}
 			return true
 		})
