service/siblings: hosts of an older build are understood, and spoken to in their form

While hosts were replaced by another build in turn (real processes, TestUpgradeInTurn, or beside this one) each side logged the other's messages as invalid and took it for silent: neither counted the other's requests, rates and permits, and look-ups left the other's hosts out. Since messages and statuses of hosts have one field more, which CBOR arrays do not forgive.

Both forms are decoded, and a host that is heard in the older form is spoken to in it.

TestOlderBuildIsUnderstood (2 zones of 2 hosts, 6 zones of 6, leaders of either build) failed before in its five mixed cases.

--- a/service/siblings/peer.go
+++ b/service/siblings/peer.go
@@ -20,7 +20,9 @@
 	ready     bool
 	// reachesTargets tells whether the host gets answers from targets.
 	reachesTargets bool
-	loggedSilent   bool
+	// older is set if the host speaks the older form of messages.
+	older        bool
+	loggedSilent bool
 	// lastSentAt is the peer's clock when it sent its last message, and receivedAt when
 	// that was received.
 	lastSentAt   int64
--- a/service/siblings/receive.go
+++ b/service/siblings/receive.go
@@ -21,12 +21,12 @@
 		if err != nil {
 			return
 		}
-		var m message
-		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
+		m, err := decodeMessage(buf[:n])
+		if err != nil {
 			b.cfg.Log.WithError(err).WithField("from", from.String()).Warn("invalid message; ignoring it")
 			continue
 		}
-		b.handle(from.String(), &m)
+		b.handle(from.String(), m)
 	}
 }
 
@@ -40,7 +40,7 @@
 		return // The sender is not registered, or no longer.
 	}
 	p.lastHeard, b.lastHeard = now, now
-	p.ready, p.reachesTargets = m.Ready, m.ReachesTargets
+	p.ready, p.reachesTargets, p.older = m.Ready, m.ReachesTargets, m.older
 	p.lastSentAt, p.receivedAt = m.SentAt, b.cfg.Confirmer.Now()
 	updates := b.acceptAll(p, m, now)
 	b.mu.Unlock()
@@ -87,12 +87,12 @@
 		if isObservations(data) {
 			continue
 		}
-		var s section
-		if err := cbor.Unmarshal(data, &s); err != nil {
+		s, err := m.decodeSection(data)
+		if err != nil {
 			b.cfg.Log.WithError(err).WithField("from", p.host.PeersAddress).Warn("invalid section in message; ignoring the section")
 			continue
 		}
-		if u, ok := b.accept(p, m, &s, now); ok {
+		if u, ok := b.accept(p, m, s, now); ok {
 			all = append(all, u)
 		}
 	}
--- a/service/siblings/siblings.go
+++ b/service/siblings/siblings.go
@@ -245,7 +245,7 @@
 		// proof older and not younger.
 		m.ProofAge = int64(b.cfg.Confirmer.Now().Since(r.provenAt))
 	}
-	data, err := cbor.Marshal(&m)
+	data, err := p.encode(&m)
 	if err != nil {
 		b.cfg.Log.WithError(err).Error("failed to encode a message; not sending it")
 		return
@@ -255,6 +255,14 @@
 	_, _ = b.cfg.Conn.WriteTo(data, p.addr)
 }
 
+// encode encodes a message in the form that the host understands.
+func (p *peer) encode(m *message) ([]byte, error) {
+	if p.older {
+		return encodeOlder(m)
+	}
+	return cbor.Marshal(m)
+}
+
 // countTraffic adds a message to the traffic counters.
 func (b *Broadcaster) countTraffic(p *peer, bytes int) {
 	b.traffic.Messages.Add(1)
--- a/service/siblings/siblings_test.go
+++ b/service/siblings/siblings_test.go
@@ -80,6 +80,8 @@
 	hosts map[string]*host
 	// outdated, if set, replaces the host at its address in the host list.
 	outdated *lister.Host
+	// older, if set, tells which hosts are of an older build.
+	older func(h lister.Host) bool
 }
 
 // newFleet returns a fleet without hosts, whose datagrams take delay.
@@ -143,6 +145,9 @@
 	if err != nil {
 		fl.t.Fatal(err)
 	}
+	if fl.older != nil && fl.older(self) {
+		conn = &olderConn{conn, fl.t}
+	}
 	h := &host{
 		self:      self,
 		conn:      &countingConn{PacketConn: conn},
--- a/service/siblings/wire.go
+++ b/service/siblings/wire.go
@@ -39,6 +39,8 @@
 	Ready, ReachesTargets bool
 	// Sections are encoded separately, because the same ones go to many hosts.
 	Sections []cbor.RawMessage
+	// older is set if the message came in the older form.
+	older bool
 }
 
 func (m *message) position() ids.Position { return ids.Position{Era: m.Era, Revision: m.Revision} }
--- a/service/siblings/zone_test.go
+++ b/service/siblings/zone_test.go
@@ -31,9 +31,16 @@
 // withZones runs f on the virtual clock with a number of zones, two per region, and a
 // number of hosts per zone. Host 0 of a zone is its preferred leader.
 func withZones(t *testing.T, zones, hosts int, f func(fl *fleet, all [][]*host)) {
+	t.Helper()
+	withMixedZones(t, zones, hosts, nil, f)
+}
+
+// withMixedZones is like withZones, with some hosts of an older build.
+func withMixedZones(t *testing.T, zones, hosts int, older func(h lister.Host) bool, f func(fl *fleet, all [][]*host)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		fl := newFleet(t, networkDelay)
+		fl.older = older
 		all := make([][]*host, zones)
 		for z := range zones {
 			for i := range hosts {
