Contended and uneven capacity: candidates by rendezvous hashing, region shares, speed of targets

Callers of a service with 156 targets got cold work: a choice over all targets spreads an object over tens of them, and a target that is slow for a moment corrects what is believed to be warm. Objects now stay on few agreed targets where targets report how long work takes, and requests change their region at a bounded rate.

--- a/pkg/balancer/admit.go
+++ b/pkg/balancer/admit.go
@@ -2,8 +2,45 @@
 
 import (
 	"time"
+
+	"gypsumbeam.example/gypsumbeam/pkg/admitter"
 )
 
+// admission returns an error if the request is not admitted to a service whose targets report
+// their slowdown.
+func (s *search) admission() error {
+	pl := s.pool
+	r := admitter.Request{
+		Class: s.request.Class, Priority: s.request.Priority, Objective: s.request.Objective, TimeLeft: s.request.TimeLeft,
+	}
+	pressure := pl.pressure
+	if c := &s.best; c.target != nil {
+		r.Finish, r.Cold = c.QueueDelay+c.measuredServiceTime()+c.rtt, !c.Warm
+		if c.QueueDelay == 0 && r.TimeLeft > 0 {
+			r.Finish = min(r.Finish, r.TimeLeft) // the estimate may be wrong, and only requests correct it
+		}
+		pressure = pl.survey.pressureIn(c.Region)
+	} else {
+		r.Finish = s.request.TimeLeft + 1 // no target can finish it in time
+	}
+	if pl.admitter.Admit(r, pressure, s.now) {
+		return nil
+	}
+	return &ErrBusy{RetryAfter: pl.admitter.RetryAfter(s.freed(), s.request.TimeLeft, s.now)}
+}
+
+// freed returns how many requests a second this host's part of the slots can end.
+func (s *search) freed() float64 {
+	slots := 0.0
+	for _, l := range s.pool.survey.loads {
+		slots += l.Slots
+	}
+	return slots * s.shares.cold.Fraction() / max(s.pool.meanServiceTime.Seconds(), minServiceSeconds)
+}
+
+// minServiceSeconds bounds the service time from which rates are computed.
+const minServiceSeconds = 1e-3
+
 // cannotMeetDeadline reports whether the request would exceed its deadline at this
 // target. It is false for a target without a queue, as the estimate may be wrong.
 func (c *Choice) cannotMeetDeadline() bool {
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -17,10 +17,13 @@
 	"sync/atomic"
 	"time"
 
+	"gypsumbeam.example/gypsumbeam/pkg/admitter"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
 	"gypsumbeam.example/gypsumbeam/pkg/pacer"
+	"gypsumbeam.example/gypsumbeam/pkg/placer"
 	"gypsumbeam.example/gypsumbeam/pkg/reconciler"
 	"gypsumbeam.example/gypsumbeam/pkg/registrar"
+	"gypsumbeam.example/gypsumbeam/pkg/shifter"
 )
 
 // Config is the configuration of a Balancer.
@@ -89,6 +92,16 @@
 	pressure float64
 	// lastRetryAt is the time at which the last rejected caller was told to retry.
 	lastRetryAt time.Time
+	// reportsSlowdown is set once a target has reported its slowdown, and slowFactor is the
+	// moving average of the slowdown of those that are slow.
+	reportsSlowdown bool
+	slowFactor      float64
+	// placer, survey, shifter and admitter serve a pool with few candidates for each object.
+	objects  objectCounter
+	placer   *placer.Placer
+	survey   survey
+	shifter  shifter.Shifter
+	admitter admitter.Admitter
 }
 
 // New returns a Balancer without targets.
@@ -133,7 +146,10 @@
 func (b *Balancer) pool(name ids.Service) *pool {
 	pl := b.services[name]
 	if pl == nil {
-		pl = &pool{serviceTimes: make(map[string]*serviceTimes), holders: make(map[ObjectHash][]*target), warmCapacity: initialWarmCapacity, remote: &b.remote}
+		pl = &pool{
+			serviceTimes: make(map[string]*serviceTimes), holders: make(map[ObjectHash][]*target), warmCapacity: initialWarmCapacity,
+			remote: &b.remote, slowFactor: initialSlowFactor,
+		}
 		b.services[name] = pl
 	}
 	return pl
@@ -183,6 +199,7 @@
 		pl.targets = append(pl.targets, t)
 		pl.byHash[t.hash] = t
 	}
+	pl.placer = nil
 	pl.unregistered = known
 	for _, t := range known {
 		if t.unregisteredAt.IsZero() {
--- /dev/null
+++ b/pkg/balancer/candidates.go
@@ -0,0 +1,138 @@
+package balancer
+
+import (
+	"time"
+
+	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/placer"
+)
+
+const (
+	// maxScanned is the number of targets up to which a choice may look at all of them.
+	maxScanned = 200
+	// ownZoneCandidates and otherZoneCandidates are the numbers of candidates in this host's
+	// zone and in each other one.
+	ownZoneCandidates   = 2
+	otherZoneCandidates = 1
+	// orderPenalty is added for each candidate of the zone that goes before, so that requests
+	// for an object go to the same one while it has room.
+	orderPenalty = 5 * time.Millisecond
+	// anonymousObjects is the number of lists of candidates among which requests without an
+	// object are spread.
+	anonymousObjects = 1024
+)
+
+// hasCandidates reports whether a choice looks at few candidates: where the targets are many,
+// or change so fast that requests would spread over all of them. The caller holds the lock.
+func (pl *pool) hasCandidates() bool { return pl.reportsSlowdown || len(pl.targets) > maxScanned }
+
+// candidates returns the candidates for an object, by zone. The caller holds the lock.
+func (pl *pool) candidates(cfg *Config, o ObjectHash) []placer.Group {
+	if pl.placer == nil {
+		places := make([]placer.Place, 0, len(pl.targets))
+		for _, t := range pl.targets {
+			places = append(places, placer.Place{Hash: t.hash, Zone: t.Zone, Region: t.region})
+		}
+		pl.placer = placer.New(cfg.Zone, cfg.Regions[cfg.Zone], places)
+	}
+	if o == NoObject {
+		o = ObjectHash(pl.choiceCount % anonymousObjects)
+	}
+	return pl.placer.Candidates(uint32(o))
+}
+
+// scanCandidates considers the candidates in the region that the object has now, else those in
+// other regions, and all targets if none of them is eligible.
+func (s *search) scanCandidates() {
+	groups := s.pool.candidates(&s.balancer.cfg, s.request.Object)
+	if !s.pool.reportsSlowdown {
+		s.scanGroups(groups, func(ids.Region) bool { return true })
+	} else {
+		own := s.balancer.cfg.Regions[s.balancer.cfg.Zone]
+		region := s.pool.shifter.Region(own, uint32(s.request.Object))
+		s.scanGroups(groups, func(r ids.Region) bool { return r == region })
+		if s.eligible == 0 {
+			s.scanGroups(groups, func(r ids.Region) bool { return r != region })
+		}
+	}
+	if s.eligible == 0 {
+		s.limited = nil
+		s.scanAll()
+	}
+}
+
+// scanGroups considers the first eligible candidates of each zone in some regions.
+func (s *search) scanGroups(groups []placer.Group, in func(ids.Region) bool) {
+	for _, g := range groups {
+		if !in(g.Region) {
+			continue
+		}
+		left := otherZoneCandidates
+		if g.Zone == s.balancer.cfg.Zone {
+			left = ownZoneCandidates
+		}
+		for _, c := range g.Candidates {
+			if left == 0 {
+				break
+			}
+			if s.considerCandidate(c, g.Region) {
+				left--
+			}
+		}
+	}
+}
+
+// considerCandidate takes in a candidate in a region. One that does not have the object gets it
+// only if the targets of the region can keep as many copies of each object.
+func (s *search) considerCandidate(c placer.Candidate, region ids.Region) bool {
+	t := s.pool.targets[c.Index]
+	penalty := time.Duration(c.Order) * orderPenalty
+	if c.Order >= s.pool.copies(region) && s.pool.rankOf(t) < 0 {
+		penalty += time.Duration(s.times.warmSaving())
+	}
+	return s.consider(t, penalty)
+}
+
+const (
+	// maxPressureForCopies is the pressure from which objects get no further copies.
+	maxPressureForCopies = 0.8
+	// copyFraction is the part of what targets keep warm that the copies of objects take.
+	copyFraction = 0.75
+	// objectWindow is the time in which a host's requests tell what objects there are.
+	objectWindow = 10 * time.Second
+)
+
+// copies returns how many targets of a region may get an object. The caller holds the lock.
+func (pl *pool) copies(region ids.Region) int {
+	if pl.pressure >= maxPressureForCopies {
+		return 1
+	}
+	targets := 0.0
+	for _, l := range pl.survey.loads {
+		if l.Region == region {
+			targets = float64(l.Targets)
+		}
+	}
+	return max(int(copyFraction*pl.warmCapacity*targets/float64(max(pl.objects.count(), 1))), 1)
+}
+
+// objectCounter counts the objects that this host had requests for lately.
+type objectCounter struct {
+	current, last map[ObjectHash]struct{}
+	began         time.Time
+}
+
+func (c *objectCounter) add(o ObjectHash, now time.Time) {
+	if c.current == nil || now.Sub(c.began) > objectWindow {
+		c.last, c.current, c.began = c.current, make(map[ObjectHash]struct{}), now
+	}
+	if len(c.current) < maxCountedObjects {
+		c.current[o] = struct{}{}
+	}
+}
+
+// maxCountedObjects bounds the objects that are counted.
+const maxCountedObjects = 8192
+
+// count returns the number of objects.
+func (c *objectCounter) count() int { return max(len(c.current), len(c.last)) }
--- /dev/null
+++ b/pkg/balancer/health.go
@@ -0,0 +1,61 @@
+package balancer
+
+import (
+	"time"
+
+	"gypsumbeam.example/gypsumbeam/pkg/ids"
+)
+
+// checkInterval is the least time between two health checks of a target by this host. A report
+// that is younger needs no check.
+const checkInterval = 100 * time.Millisecond
+
+// checkFraction is the part of the objective that an expected time may take without a check, as
+// service times vary.
+const checkFraction = 0.8
+
+// Candidate is a target that a request may be sent to.
+type Candidate struct {
+	Target  ids.Target
+	Address string
+}
+
+// CheckFirst returns the best target for a request if its health is to be checked before Pick
+// is called: its last report is old, and if it is slow now, the request would miss its
+// objective there, but perhaps not at another target that has the object. It returns false if
+// no check is worthwhile.
+func (b *Balancer) CheckFirst(r Request) (Candidate, bool) {
+	pl, evacuated := b.poolOf(r.Service)
+	if pl == nil {
+		return Candidate{}, false
+	}
+	now := time.Now()
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	if !pl.reportsSlowdown {
+		return Candidate{}, false
+	}
+	s := b.find(pl, r, evacuated, now)
+	c, t := &s.best, s.best.target
+	if t == nil || s.warm < 2 || !c.Warm || t.limits != nil || t.cold(now) || t.region != b.cfg.Regions[b.cfg.Zone] {
+		return Candidate{}, false
+	}
+	if now.Sub(t.slowdownAt) < checkInterval || now.Sub(t.checkedAt) < checkInterval {
+		return Candidate{}, false
+	}
+	finish := c.QueueDelay + c.ServiceTime + c.rtt
+	slow := finish + time.Duration((pl.slowFactor-1)*float64(c.ServiceTime))
+	if finish > r.Objective || float64(slow) <= checkFraction*float64(r.Objective) {
+		return Candidate{}, false
+	}
+	t.checkedAt = now
+	return Candidate{t.ID, t.Address}, true
+}
+
+// ObserveHealth takes in what a target responded to a health check.
+func (b *Balancer) ObserveHealth(id ids.Target, report LoadReport) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	now := time.Now()
+	b.updateTarget(HashTarget(id), func(pl *pool, t *target) { pl.observeLoad(t, report, now) })
+}
--- a/pkg/balancer/learn.go
+++ b/pkg/balancer/learn.go
@@ -20,14 +20,31 @@
 	Leaving bool
 	// RetryAfter is how long the target asks this host to send it nothing.
 	RetryAfter time.Duration
-	// Load is the number of running and queued requests that the target reported. It is
-	// valid if HasLoad is set.
+	LoadReport
+	// ResponseKiB is the size of the response body in KiB.
+	ResponseKiB float64
+}
+
+// LoadReport is what a response tells about the load of its target.
+type LoadReport struct {
+	// Load is the number of running and queued requests. It is valid if HasLoad is set.
 	Load    int
 	HasLoad bool
 	// ColdTimeLeft is how long the target says that it stays cold; 0 if it did not say.
 	ColdTimeLeft time.Duration
-	// ResponseKiB is the size of the response body in KiB.
-	ResponseKiB float64
+	// Slowdown is what the target reported of it, 0 for nothing.
+	Slowdown Slowdown
+}
+
+// observeLoad takes in what a target reported. The caller holds the lock.
+func (pl *pool) observeLoad(t *target, r LoadReport, now time.Time) {
+	if r.HasLoad {
+		t.load, t.inFlightAtLoad, t.loadAt = r.Load, t.inFlight, now
+	}
+	if r.ColdTimeLeft > 0 {
+		t.ColdUntil = now.Add(r.ColdTimeLeft)
+	}
+	pl.observeSlowdown(t, r.Slowdown, now)
 }
 
 // Done ends the request's accounting and updates the estimates from its result. It must
@@ -38,12 +55,7 @@
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	t.inFlight--
-	if r.HasLoad {
-		t.load, t.inFlightAtLoad, t.loadAt = r.Load, t.inFlight, now
-	}
-	if r.ColdTimeLeft > 0 {
-		t.ColdUntil = now.Add(r.ColdTimeLeft)
-	}
+	pl.observeLoad(t, r.LoadReport, now)
 	if r.Leaving || r.AddressReused {
 		t.leaving = true
 	}
@@ -53,6 +65,9 @@
 	switch {
 	case r.Unreachable:
 		t.eject(now)
+	case r.Shed && r.HasLoad && r.Slowdown > 0:
+		// The target said how full it is, so the refusal tells no more about its queue.
+		t.failureRate += meanWeight * (1 - t.failureRate)
 	case r.Shed:
 		t.load, t.inFlightAtLoad, t.loadAt = max(t.load, t.Slots*2), t.inFlight, now
 	case r.Failed:
@@ -62,7 +77,9 @@
 		t.failureRate -= meanWeight * t.failureRate
 		times := pl.serviceTimesOf(c.request)
 		times.responseKiB += meanWeight * (r.ResponseKiB - times.responseKiB)
-		c.learn(pl, now.Sub(c.sentAt)-c.rtt)
+		if r.Slowdown <= maxUsualSlowdown {
+			c.learn(pl, now.Sub(c.sentAt)-c.rtt)
+		}
 	}
 }
 
@@ -101,10 +118,20 @@
 	if fast || c.recentlyUsed(pl) {
 		expected = times.warm
 	}
-	ratio := min(max(elapsed.Seconds()/max(expected.Seconds(), 1e-3), 0.5), 8)
-	t.slowness = min(max(t.slowness+meanWeight*(ratio-t.slowness), 0.5), 8)
+	ratio := min(max(elapsed.Seconds()/max(expected.Seconds(), 1e-3), minSlowness), maxSlowness)
+	if pl.reportsSlowdown {
+		t.followSlowness(ratio)
+		return
+	}
+	t.slowness = min(max(t.slowness+meanWeight*(ratio-t.slowness), minSlowness), maxSlowness)
 }
 
+// Bounds of the slowness of a target.
+const (
+	minSlowness = 0.5
+	maxSlowness = 8
+)
+
 // recentlyUsed reports whether the object was used so recently at the target that a
 // slow answer is due to the target and not to a cold object. The caller holds the lock.
 func (c *Choice) recentlyUsed(pl *pool) bool {
--- a/pkg/balancer/pick.go
+++ b/pkg/balancer/pick.go
@@ -26,6 +26,8 @@
 	Avoid []ids.Target
 	// TimeLeft is the time until the request's deadline; 0 or less means none.
 	TimeLeft time.Duration
+	// Priority is the urgency of the request, 0 for the most urgent ones.
+	Priority int
 }
 
 // Choice is a chosen target. Done must be called exactly once.
@@ -73,10 +75,7 @@
 // Pick chooses the target with the lowest score and counts the request as in flight
 // there. Its error is an *ErrNoTarget, an *ErrBusy or an *ErrLimited.
 func (b *Balancer) Pick(r Request) (*Choice, error) {
-	b.mu.RLock()
-	pl := b.services[r.Service]
-	evacuated := b.evacuated
-	b.mu.RUnlock()
+	pl, evacuated := b.poolOf(r.Service)
 	if pl == nil {
 		return nil, &ErrNoTarget{}
 	}
@@ -84,41 +83,48 @@
 	b.expireRemote(now)
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	times := pl.serviceTimesOf(r)
-	pl.rankHolders(r.Object)
 	if pl.limited && b.cfg.OnLimitedPick != nil {
 		b.cfg.OnLimitedPick(r.Service)
 	}
-	own := b.shares(pl)
-	var s search
-	for _, t := range pl.targets {
-		switch {
-		case evacuated[t.Zone], !t.eligible(r, now):
-		case !t.hasPermit(pl.coldRate, own, now):
-			s.limited = append(s.limited, t)
-		default:
-			s.add(b.score(pl, t, times, r, now))
-		}
-	}
-	if !r.regionRestricted() {
-		pl.pressure = s.pressure()
-	}
-	switch {
-	case s.eligible == 0 && len(s.limited) > 0:
-		return nil, &ErrLimited{RetryAfter: pl.nextPermit(s.limited, own, now)}
-	case s.eligible == 0:
-		return nil, &ErrNoTarget{}
-	case s.best.target == nil, !s.best.admissible(s.pressure()):
-		return nil, &ErrBusy{RetryAfter: pl.nextRetryAfter(s.minQueueDelay, now)}
+	s := b.find(pl, r, evacuated, now)
+	if err := s.refusal(); err != nil {
+		return nil, err
 	}
 	s.best.balancer, s.best.suspendedBefore = b, b.suspendedTime()
 	s.best.start(pl, now)
 	if r.Object != NoObject {
+		pl.objects.add(r.Object, now)
 		b.dispatches.Add(Dispatch{s.best.target.hash, r.Object})
 	}
 	return &s.best, nil
 }
 
+// poolOf returns the pool of a service, or nil, and the evacuated zones.
+func (b *Balancer) poolOf(name ids.Service) (*pool, map[ids.Zone]bool) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.services[name], b.evacuated
+}
+
+// find scores the targets that may get the request. The caller holds the lock.
+func (b *Balancer) find(pl *pool, r Request, evacuated map[ids.Zone]bool, now time.Time) *search {
+	pl.rankHolders(r.Object)
+	s := &search{
+		balancer: b, pool: pl, request: r, evacuated: evacuated, now: now,
+		times: pl.serviceTimesOf(r), shares: b.shares(pl),
+	}
+	if pl.hasCandidates() {
+		b.refreshSurvey(pl, evacuated, now)
+		s.scanCandidates()
+		return s
+	}
+	s.scanAll()
+	if !r.regionRestricted() {
+		pl.pressure = s.pressure()
+	}
+	return s
+}
+
 // expireRemote drops the in-flight counts of hosts that have gone silent.
 func (b *Balancer) expireRemote(now time.Time) {
 	changed := b.remote.expire(now)
@@ -135,25 +141,59 @@
 	return slices.ContainsFunc(r.HomeRegions, func(regions []ids.Region) bool { return len(regions) > 0 })
 }
 
-// search finds the target with the lowest score.
+// search finds the target with the lowest score for a request.
 type search struct {
+	balancer  *Balancer
+	pool      *pool
+	request   Request
+	evacuated map[ids.Zone]bool
+	now       time.Time
+	times     *serviceTimes
+	shares    shares
+
 	best  Choice
 	score time.Duration
-	// eligible is the number of eligible targets. minQueueDelay is the shortest
-	// queueing delay among them; backlog and slots are their totals.
-	eligible       int
+	// eligible is the number of eligible targets, and warm that of those that have the object.
+	// minQueueDelay is the shortest queueing delay among them; backlog and slots are their
+	// totals.
+	eligible, warm int
 	minQueueDelay  time.Duration
 	backlog, slots float64
 	// limited are the targets that would be eligible if this host had a permit.
 	limited []*target
 }
 
+// scanAll considers all targets.
+func (s *search) scanAll() {
+	for _, t := range s.pool.targets {
+		s.consider(t, 0)
+	}
+}
+
+// consider takes in a target if it is eligible, and reports whether it is. Its score is
+// increased by penalty.
+func (s *search) consider(t *target, penalty time.Duration) bool {
+	if s.evacuated[t.Zone] || !t.eligible(s.request, s.now) {
+		return false
+	}
+	if !t.hasPermit(s.pool.coldRate, s.shares, s.now) {
+		s.limited = append(s.limited, t)
+		return false
+	}
+	c, score := s.balancer.score(s.pool, t, s.times, s.request, s.now)
+	s.add(c, score+penalty)
+	return true
+}
+
 // add considers one eligible target.
 func (s *search) add(c Choice, score time.Duration) {
 	if s.eligible == 0 || c.QueueDelay < s.minQueueDelay {
 		s.minQueueDelay = c.QueueDelay
 	}
 	s.eligible++
+	if c.Warm {
+		s.warm++
+	}
 	s.backlog += c.Backlog
 	s.slots += float64(c.target.Slots)
 	if c.cannotMeetDeadline() {
@@ -168,6 +208,23 @@
 // queued.
 func (s *search) pressure() float64 { return s.backlog / max(s.slots, 1) }
 
+// refusal returns the reason for which the request is refused, or nil if it may be sent.
+func (s *search) refusal() error {
+	pl := s.pool
+	switch {
+	case s.eligible == 0 && len(s.limited) > 0:
+		return &ErrLimited{RetryAfter: pl.nextPermit(s.limited, s.shares, s.now)}
+	case s.eligible == 0:
+		return &ErrNoTarget{}
+	case pl.reportsSlowdown:
+		return s.admission()
+	case s.best.target == nil, !s.best.admissible(s.pressure()):
+		return &ErrBusy{RetryAfter: pl.nextRetryAfter(s.minQueueDelay, s.now)}
+	default:
+		return nil
+	}
+}
+
 // eligible reports whether t may get the request. The caller holds the lock.
 func (t *target) eligible(r Request, now time.Time) bool {
 	switch {
--- a/pkg/balancer/score.go
+++ b/pkg/balancer/score.go
@@ -35,6 +35,10 @@
 // too.
 const occupancyFactor = 3.0
 
+// balanceFraction weights the warm service time by the slots in use, so that requests for an
+// object use all candidates that have it.
+const balanceFraction = 0.25
+
 // unusedTargetBonus is subtracted for a target that no host has used yet, so that it
 // starts to take load. Requests with bodies are excluded because they cost more to send
 // far.
@@ -56,30 +60,41 @@
 	if c.Warm {
 		c.ServiceTime = times.warm
 	}
-	c.ServiceTime = time.Duration(float64(c.ServiceTime) * t.slowness)
+	slowdown := t.slowdownNow(now)
+	c.ServiceTime = time.Duration(float64(c.ServiceTime) * t.slowness * slowdown)
 	if t.cold(now) {
 		c.ServiceTime *= coldStartFactor
 	}
 	t.recordBacklog(c.Backlog, now)
-	slots := float64(max(t.Slots, 1))
-	if excess := c.Backlog + 1 - slots; excess > 0 {
-		c.QueueDelay = time.Duration(excess / slots * float64(max(pl.meanServiceTime, times.warm)))
-	}
+	c.QueueDelay = time.Duration(float64(queueDelay(c.Backlog, float64(max(t.Slots, 1)), max(pl.meanServiceTime, times.warm))) * slowdown)
 	c.rtt = b.rtt(t)
 	saving := times.warmSaving()
 	total := c.QueueDelay + c.ServiceTime + c.rtt + b.crossingPenalty(t, r.BodyKiB+times.responseKiB, saving)
 	total += time.Duration(pl.pressure * float64(c.ServiceTime-times.warm) * pressureFactor)
 	total += time.Duration(t.failureRate * float64(failurePenalty))
-	if !c.Warm {
-		total += time.Duration(t.occupancy * float64(times.warm) * occupancyFactor)
-	}
 	if r.BodyKiB == 0 && t.neverUsed(now) {
 		total -= unusedTargetBonus
 	}
+	if pl.hasCandidates() {
+		total += time.Duration(c.Backlog / float64(max(t.Slots, 1)) * float64(times.warm) * balanceFraction)
+		return c, total
+	}
+	if !c.Warm {
+		total += time.Duration(t.occupancy * float64(times.warm) * occupancyFactor)
+	}
 	total += time.Duration(spreadHash(r.Object, t.hash) * saving * spreadFraction)
 	return c, total
 }
 
+// queueDelay returns the wait of one more request at a target with a backlog.
+func queueDelay(backlog, slots float64, serviceTime time.Duration) time.Duration {
+	excess := backlog + 1 - slots
+	if excess <= 0 {
+		return 0
+	}
+	return time.Duration(excess / slots * float64(serviceTime))
+}
+
 // warmSaving returns the service time that a warm object saves, in nanoseconds.
 func (st *serviceTimes) warmSaving() float64 {
 	return float64(min(max(st.cold-st.warm, 0), maxWarmSaving))
--- /dev/null
+++ b/pkg/balancer/survey.go
@@ -0,0 +1,110 @@
+package balancer
+
+import (
+	"slices"
+	"time"
+
+	"gypsumbeam.example/gypsumbeam/pkg/ids"
+	"gypsumbeam.example/gypsumbeam/pkg/shifter"
+)
+
+// surveyInterval is the time between two looks at all targets of a pool whose choices look at
+// a few candidates only.
+const surveyInterval = 50 * time.Millisecond
+
+// maxPressureWithRoom is the pressure up to which a service has room for extra work.
+const maxPressureWithRoom = 0.8
+
+// survey is the load of a pool's targets that take requests.
+type survey struct {
+	at            time.Time
+	loads         []regionLoad
+	minQueueDelay time.Duration
+}
+
+// regionLoad is the load of a region's targets, and their number.
+type regionLoad struct {
+	shifter.Load
+	Targets int
+}
+
+// pressure returns the ratio of requests to slots, more than 1 when requests are queued.
+func (s *survey) pressure() float64 {
+	backlog, slots := 0.0, 0.0
+	for _, l := range s.loads {
+		backlog += l.Backlog
+		slots += l.Slots
+	}
+	return backlog / max(slots, 1)
+}
+
+// pressureIn returns the pressure in one region.
+func (s *survey) pressureIn(region ids.Region) float64 {
+	for _, l := range s.loads {
+		if l.Region == region {
+			return l.Backlog / max(l.Slots, 1)
+		}
+	}
+	return 0
+}
+
+// refreshSurvey looks at all targets if the last look is old. The caller holds the lock.
+func (b *Balancer) refreshSurvey(pl *pool, evacuated map[ids.Zone]bool, now time.Time) {
+	s := &pl.survey
+	if !s.at.IsZero() && now.Sub(s.at) < surveyInterval {
+		return
+	}
+	s.at, s.loads, s.minQueueDelay = now, s.loads[:0], 0
+	first := true
+	for _, t := range pl.targets {
+		if evacuated[t.Zone] || !t.eligible(Request{}, now) {
+			continue
+		}
+		backlog, slots := t.backlog(now), t.effectiveSlots(now)
+		l := s.load(t.region)
+		l.Backlog += backlog
+		l.Slots += slots
+		l.Targets++
+		if delay := queueDelay(backlog, slots, pl.meanServiceTime); first || delay < s.minQueueDelay {
+			s.minQueueDelay, first = delay, false
+		}
+	}
+	pl.pressure = s.pressure()
+	if pl.reportsSlowdown {
+		loads := make([]shifter.Load, 0, len(s.loads))
+		for _, l := range s.loads {
+			loads = append(loads, l.Load)
+		}
+		pl.shifter.Update(b.cfg.Regions[b.cfg.Zone], loads, now)
+	}
+}
+
+// load returns the load of a region, which it adds if needed.
+func (s *survey) load(region ids.Region) *regionLoad {
+	i := slices.IndexFunc(s.loads, func(l regionLoad) bool { return l.Region == region })
+	if i < 0 {
+		i = len(s.loads)
+		s.loads = append(s.loads, regionLoad{Load: shifter.Load{Region: region}})
+	}
+	return &s.loads[i]
+}
+
+// effectiveSlots returns the number of slots that a target at usual speed would need for the
+// work that this one does now.
+func (t *target) effectiveSlots(now time.Time) float64 {
+	return float64(max(t.Slots, 1)) / max(t.slowdownNow(now), 1)
+}
+
+// HasRoom reports whether the targets of a service have room for work that is not necessary.
+func (b *Balancer) HasRoom(name ids.Service) bool {
+	b.mu.RLock()
+	pl, evacuated := b.services[name], b.evacuated
+	b.mu.RUnlock()
+	if pl == nil {
+		return false
+	}
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	b.refreshSurvey(pl, evacuated, time.Now())
+	return pl.pressure < maxPressureWithRoom
+}
--- a/pkg/balancer/target.go
+++ b/pkg/balancer/target.go
@@ -60,6 +60,10 @@
 	rankedIn uint64
 	// slowness is the ratio of actual to expected service time.
 	slowness float64
+	// slowdown is what the target reported at slowdownAt. checkedAt is when its health was
+	// last checked.
+	slowdown              Slowdown
+	slowdownAt, checkedAt time.Time
 	// failureRate is the moving average of failures per answer, from 0 to 1.
 	failureRate  float64
 	ejectedUntil time.Time
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -187,5 +187,15 @@
 	return r.byKey[sha256.Sum256([]byte(key))]
 }
 
+// HealthPath returns the path of the health checks of a service's targets.
+func (r *Router) HealthPath(name ids.Service) string {
+	for i := range r.Services {
+		if r.Services[i].Name == name {
+			return r.Services[i].HealthPath
+		}
+	}
+	return "/"
+}
+
 // RequiresKey reports whether routes that are not open need a workspace key.
 func (r *Router) RequiresKey() bool { return len(r.Workspaces) > 0 }
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -24,9 +24,7 @@
 	}
 	info := q.h.cfg.HeaderCodec.ReadResponse(resp.StatusCode, resp.Header, q.info.ID)
 	res := &result{resp: resp, limit: c.ObserveLimit(info.Limit)}
-	res.outcome = balancer.Result{
-		Load: info.Load, HasLoad: info.HasLoad, ColdTimeLeft: info.ColdTimeLeft, Leaving: info.Leaving, RetryAfter: info.RetryAfter,
-	}
+	res.outcome = balancer.Result{LoadReport: info.LoadReport, Leaving: info.Leaving, RetryAfter: info.RetryAfter}
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	switch {
 	case info.IDMismatch, success && (!info.Stamped || !info.IDMatch), resp.Header.Get("Content-Encoding") != "",
--- a/service/gateway/gateway_test.go
+++ b/service/gateway/gateway_test.go
@@ -37,6 +37,8 @@
 	}
 }
 
+func (testCodec) ReadHealth(http.Header) gateway.HealthInfo { return gateway.HealthInfo{} }
+
 func (testCodec) WriteRelay(h http.Header, timeout time.Duration) {
 	h.Set("Timeout", strconv.FormatInt(timeout.Milliseconds(), 10))
 }
--- a/service/gateway/ports.go
+++ b/service/gateway/ports.go
@@ -56,12 +56,7 @@
 	// IDMatch that it carries the ID of this one.
 	IDMismatch bool
 	IDMatch    bool
-	// Load is the number of requests that the target runs or queues. It is valid if
-	// HasLoad is set.
-	Load    int
-	HasLoad bool
-	// ColdTimeLeft is the remaining warm-up time of the target.
-	ColdTimeLeft time.Duration
+	balancer.LoadReport
 	// Leaving reports that the target is draining and accepts no new requests.
 	Leaving bool
 	// RetryAfter is how long the target asks this host to send it no requests.
@@ -70,6 +65,13 @@
 	Limit balancer.Limit
 }
 
+// HealthInfo is the metadata that a target sends in the response to a health check.
+type HealthInfo struct {
+	// Target is the target that responded.
+	Target ids.Target
+	balancer.LoadReport
+}
+
 // HeaderCodec reads and writes the header fields that carry metadata. Its methods may
 // be called concurrently.
 type HeaderCodec interface {
@@ -83,6 +85,8 @@
 	// ReadResponse decodes the metadata of a target's response to the request with
 	// ID id.
 	ReadResponse(status int, h http.Header, id string) ResponseInfo
+	// ReadHealth decodes the metadata of a target's response to a health check.
+	ReadHealth(h http.Header) HealthInfo
 }
 
 // RouterSource provides the current routes.
@@ -102,6 +106,11 @@
 	// Pick selects a target for one request. Its error is a *balancer.ErrNoTarget, a
 	// *balancer.ErrBusy or a *balancer.ErrLimited.
 	Pick(req balancer.Request) (*balancer.Choice, error)
+	// CheckFirst returns the target whose health is to be checked before Pick is called, as
+	// its state decides which target is best. It returns false if there is none.
+	CheckFirst(req balancer.Request) (balancer.Candidate, bool)
+	// ObserveHealth takes in what a target responded to a health check.
+	ObserveHealth(id ids.Target, report balancer.LoadReport)
 }
 
 // RateLimiter enforces the rate limit of each workspace across all hosts.
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -68,7 +68,9 @@
 			pickErr = err
 			break
 		}
-		choice, err := q.h.cfg.Balancer.Pick(q.balancerRequest(avoid))
+		wanted := q.balancerRequest(avoid)
+		q.checkHealth(ctx, wanted)
+		choice, err := q.h.cfg.Balancer.Pick(wanted)
 		if err != nil {
 			pickErr = err
 			break
@@ -148,9 +150,13 @@
 		HomeRegions: [][]ids.Region{q.route.HomeRegions},
 		Avoid:       avoid,
 		TimeLeft:    q.record.Timeout - time.Since(q.start),
+		Priority:    q.route.Priority,
 	}
 	if q.ws != nil {
 		req.HomeRegions = append(req.HomeRegions, q.ws.HomeRegions)
+		if q.ws.HasPriority {
+			req.Priority = q.ws.Priority
+		}
 	}
 	if q.route.Affinity && q.info.Object != "" {
 		req.Object = balancer.HashObject(q.route.Name, q.info.Object)
--- a/service/gatewayhost/fleet_test.go
+++ b/service/gatewayhost/fleet_test.go
@@ -46,6 +46,8 @@
 	return gateway.RequestInfo{ID: h.Get("Id"), Object: h.Get("Object"), Timeout: 3*time.Second + delivery}
 }
 
+func (codec) ReadHealth(http.Header) gateway.HealthInfo { return gateway.HealthInfo{} }
+
 func (codec) WriteRelay(http.Header, time.Duration) {}
 
 func (codec) WriteForward(h http.Header, s gateway.ForwardInfo) { h.Set("Target", string(s.Target)) }
