--- a/pkg/balancer/candidates.go
+++ b/pkg/balancer/candidates.go
@@ -17,6 +17,10 @@
 	// orderPenalty is added for each candidate of the zone that goes before, so that requests
 	// for an object go to the same one while it has room.
 	orderPenalty = 5 * time.Millisecond
+	// maxHolders is the number of targets with the object from which on no further ones are
+	// looked for, and holderPenalty is added for those that are no candidates.
+	maxHolders    = 2
+	holderPenalty = 4 * orderPenalty
 	// anonymousObjects is the number of lists of candidates among which requests without an
 	// object are spread.
 	anonymousObjects = 1024
@@ -51,6 +55,7 @@
 		own := s.balancer.cfg.Regions[s.balancer.cfg.Zone]
 		region := s.pool.shifter.Region(own, uint32(s.request.Object))
 		s.scanGroups(groups, func(r ids.Region) bool { return r == region })
+		s.scanHolders(region)
 		if s.eligible == 0 {
 			s.scanGroups(groups, func(r ids.Region) bool { return r != region })
 		}
@@ -61,6 +66,20 @@
 	}
 }
 
+// scanHolders considers further targets of a region that have the object, unless enough
+// candidates do. They got it while others took no requests, or before the targets changed.
+func (s *search) scanHolders(region ids.Region) {
+	left := maxHolders - s.warm
+	for _, t := range s.pool.holders[s.request.Object] {
+		if left <= 0 {
+			return
+		}
+		if t.region == region && float64(s.pool.rankOf(t)) < s.pool.warmCapacity && s.consider(t, holderPenalty) {
+			left--
+		}
+	}
+}
+
 // scanGroups considers the first eligible candidates of each zone in some regions.
 func (s *search) scanGroups(groups []placer.Group, in func(ids.Region) bool) {
 	for _, g := range groups {
--- a/pkg/balancer/pick.go
+++ b/pkg/balancer/pick.go
@@ -228,7 +228,7 @@
 // eligible reports whether t may get the request. The caller holds the lock.
 func (t *target) eligible(r Request, now time.Time) bool {
 	switch {
-	case t.Draining, t.leaving, now.Before(t.ejectedUntil), now.Before(t.pausedUntil), slices.Contains(r.Avoid, t.ID):
+	case !t.unregisteredAt.IsZero(), t.Draining, t.leaving, now.Before(t.ejectedUntil), now.Before(t.pausedUntil), slices.Contains(r.Avoid, t.ID):
 		return false
 	}
 	for _, regions := range r.HomeRegions {
