--- a/pkg/admitter/class.go
+++ b/pkg/admitter/class.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -55,10 +56,20 @@
 	// cold and late requests, too.
 	limit     float64
 	wholeRoom bool
+	// alone is set if no class has another priority.
+	alone bool
 }
 
-// limitFor returns the pressure up to which a request of the class is admitted.
+// limitFor returns the pressure up to which a request of the class is admitted. Without other
+// priorities there is nothing to keep room for: a request that meets its objective is always
+// admitted, as rejecting it would help no other.
 func (c *class) limitFor(r *Request) float64 {
+	switch {
+	case c.alone && !r.late():
+		return math.Inf(1)
+	case c.alone && !r.Cold:
+		return topLimit
+	}
 	if !c.wholeRoom && (r.Cold || r.late()) {
 		return 1 + (c.limit-1)*lateRoom
 	}
@@ -113,12 +124,13 @@
 // judge sets the limits of all classes.
 func (a *Admitter) judge(now time.Time) {
 	overall, limit := a.overallFraction(), topLimit
+	alone := len(a.classes) > 0 && a.classes[0].priority == a.classes[len(a.classes)-1].priority
 	for i := range a.classes {
 		c := &a.classes[i]
 		if i > 0 && c.priority > a.classes[i-1].priority {
 			limit = max(limit-limitStep, minLimit)
 		}
-		c.limit, c.wholeRoom = limit, false
+		c.limit, c.wholeRoom, c.alone = limit, false, alone
 		a.adjust(c, overall, now)
 	}
 }
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -90,8 +90,6 @@
 	// pressure is the ratio of requests to slots at the last choice without region
 	// restrictions, more than 1 when requests are queued.
 	pressure float64
-	// lastRetryAt is the time at which the last rejected caller was told to retry.
-	lastRetryAt time.Time
 	// reportsSlowdown is set once a target has reported its slowdown, and slowFactor is the
 	// moving average of the slowdown of those that are slow.
 	reportsSlowdown bool
@@ -192,7 +190,7 @@
 			b.updateLimit(pl, t)
 		}
 		delete(known, info.ID)
-		t.Target = info
+		t.Target, t.unregisteredAt = info, time.Time{}
 		t.hash = HashTarget(info.ID)
 		t.remoteInFlight = pl.remote.total(t.hash)
 		t.region = b.cfg.Regions[info.Zone]
--- a/pkg/balancer/candidates.go
+++ b/pkg/balancer/candidates.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxScanned is the number of targets up to which a choice may look at all of them.
-	maxScanned = 200
+	maxScanned = 32
 	// ownZoneCandidates and otherZoneCandidates are the numbers of candidates in this host's
 	// zone and in each other one.
 	ownZoneCandidates   = 2
@@ -49,16 +49,12 @@
 // other regions, and all targets if none of them is eligible.
 func (s *search) scanCandidates() {
 	groups := s.pool.candidates(&s.balancer.cfg, s.request.Object)
-	if !s.pool.reportsSlowdown {
-		s.scanGroups(groups, func(ids.Region) bool { return true })
-	} else {
-		own := s.balancer.cfg.Regions[s.balancer.cfg.Zone]
-		region := s.pool.shifter.Region(own, uint32(s.request.Object))
-		s.scanGroups(groups, func(r ids.Region) bool { return r == region })
-		s.scanHolders(region)
-		if s.eligible == 0 {
-			s.scanGroups(groups, func(r ids.Region) bool { return r != region })
-		}
+	own := s.balancer.cfg.Regions[s.balancer.cfg.Zone]
+	region := s.pool.shifter.Region(own, uint32(s.request.Object))
+	s.scanGroups(groups, func(r ids.Region) bool { return r == region })
+	s.scanHolders(region)
+	if s.eligible == 0 {
+		s.scanGroups(groups, func(r ids.Region) bool { return r != region })
 	}
 	if s.eligible == 0 {
 		s.limited = nil
@@ -109,23 +105,24 @@
 	if c.Order >= s.pool.copies(region) && s.pool.rankOf(t) < 0 {
 		penalty += time.Duration(s.times.warmSaving())
 	}
+	if t.Zone == s.balancer.cfg.Zone {
+		penalty -= time.Duration(s.times.warmSaving() * ownZoneFraction)
+	}
 	return s.consider(t, penalty)
 }
 
 const (
-	// maxPressureForCopies is the pressure from which objects get no further copies.
-	maxPressureForCopies = 0.8
 	// copyFraction is the part of what targets keep warm that the copies of objects take.
 	copyFraction = 0.75
+	// ownZoneFraction is the part of the time that a warm object saves for which requests stay
+	// in this host's zone.
+	ownZoneFraction = 0.5
 	// objectWindow is the time in which a host's requests tell what objects there are.
 	objectWindow = 10 * time.Second
 )
 
 // copies returns how many targets of a region may get an object. The caller holds the lock.
 func (pl *pool) copies(region ids.Region) int {
-	if pl.pressure >= maxPressureForCopies {
-		return 1
-	}
 	targets := 0.0
 	for _, l := range pl.survey.loads {
 		if l.Region == region {
--- a/pkg/balancer/pick.go
+++ b/pkg/balancer/pick.go
@@ -216,12 +216,8 @@
 		return &ErrLimited{RetryAfter: pl.nextPermit(s.limited, s.shares, s.now)}
 	case s.eligible == 0:
 		return &ErrNoTarget{}
-	case pl.reportsSlowdown:
-		return s.admission()
-	case s.best.target == nil, !s.best.admissible(s.pressure()):
-		return &ErrBusy{RetryAfter: pl.nextRetryAfter(s.minQueueDelay, s.now)}
 	default:
-		return nil
+		return s.admission()
 	}
 }
 
--- a/pkg/balancer/survey.go
+++ b/pkg/balancer/survey.go
@@ -70,13 +70,11 @@
 		}
 	}
 	pl.pressure = s.pressure()
-	if pl.reportsSlowdown {
-		loads := make([]shifter.Load, 0, len(s.loads))
-		for _, l := range s.loads {
-			loads = append(loads, l.Load)
-		}
-		pl.shifter.Update(b.cfg.Regions[b.cfg.Zone], loads, now)
+	loads := make([]shifter.Load, 0, len(s.loads))
+	for _, l := range s.loads {
+		loads = append(loads, l.Load)
 	}
+	pl.shifter.Update(b.cfg.Regions[b.cfg.Zone], loads, now)
 }
 
 // load returns the load of a region, which it adds if needed.
