service/gateway: bound the memory for bodies, and read long responses ahead of slow callers

A quarter of machine.memoryMb bounds what a host buffers of requests and responses (pkg/reserver). Requests that do not fit are rejected with 503 before they are sent. A target gets at most 16 MiB of request bodies at a time from a host. Responses over 64 KiB are read up to 1 MiB ahead of the caller.

--- a/pkg/gatewaysettings/gatewaysettings.go
+++ b/pkg/gatewaysettings/gatewaysettings.go
@@ -57,6 +57,14 @@
 // memory is unknown.
 func (m Machine) MemoryLimit() int64 { return int64(m.MemoryMB * memoryShare * (1 << 20)) }
 
+// bufferShare is the part of the memory that buffered parts of requests and responses may
+// take. Most of the rest is for connections, goroutines and garbage.
+const bufferShare = 0.25
+
+// BufferLimit returns the bytes that buffered parts of requests and responses may take, or 0
+// if the memory is unknown.
+func (m Machine) BufferLimit() int64 { return int64(m.MemoryMB * bufferShare * (1 << 20)) }
+
 // Capacity returns a number that ranks hosts by their resources, the product of cores
 // and bandwidth.
 func (m Machine) Capacity() float64 { return m.Cores * m.LinkMbps }
--- a/pkg/gatewaysettings/gatewaysettings_test.go
+++ b/pkg/gatewaysettings/gatewaysettings_test.go
@@ -29,6 +29,13 @@
 	is.Equal(s.Regions()["two"], ids.Region("east"))
 }
 
+// Buffers get a quarter of the memory, and have no limit if the memory is unknown.
+func TestBufferLimit(t *testing.T) {
+	is := is.New(t)
+	is.Equal(gatewaysettings.Machine{MemoryMB: 64}.BufferLimit(), int64(16<<20))
+	is.Equal(gatewaysettings.Machine{}.BufferLimit(), int64(0))
+}
+
 func TestInvalidSettings(t *testing.T) {
 	for name, c := range map[string]struct{ old, with, want string }{
 		"noZone":   {`"zone": "one", "region": "west",`, ``, "zone: the host's availability zone is required"},
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 
 	"gypsumbeam.example/gypsumbeam/pkg/attestor"
@@ -71,8 +70,8 @@
 	}
 }
 
-// readBody reads the body of a response of up to maxBufferedBytes; longer ones are
-// streamed.
+// readBody reads the body of a response of up to maxBufferedBytes; longer ones,
+// and those that the host has no memory for, are streamed.
 func (q *request) readBody(res *result) *result {
 	res.reason = "answered"
 	res.outcome.Answered = res.resp.StatusCode < http.StatusInternalServerError
@@ -82,15 +81,14 @@
 		res.stream = true
 		return res
 	}
-	body, err := io.ReadAll(io.LimitReader(res.resp.Body, maxBufferedBytes+1))
-	res.body = body
-	res.outcome.ResponseKiB = float64(len(body)) / 1024
+	more, err := q.bufferBody(res)
+	res.outcome.ResponseKiB = float64(len(res.body)) / 1024
 	switch {
 	case err != nil:
 		res.usable = false
 		res.reason = "brokenOff"
 		res.outcome = balancer.Result{Failed: true, Leaving: res.outcome.Leaving, RetryAfter: res.outcome.RetryAfter}
-	case len(body) > maxBufferedBytes:
+	case more:
 		res.stream = true
 	}
 	return res
--- a/service/gateway/handler.go
+++ b/service/gateway/handler.go
@@ -14,6 +14,7 @@
 	"gypsumbeam.example/gypsumbeam/pkg/fingerprinter"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
 	"gypsumbeam.example/gypsumbeam/pkg/replayer"
+	"gypsumbeam.example/gypsumbeam/pkg/reserver"
 	"gypsumbeam.example/gypsumbeam/pkg/router"
 )
 
@@ -28,7 +29,8 @@
 	retryAfterNotReady = 300 * time.Millisecond
 )
 
-// Config holds the dependencies of a Handler. All fields except Recorder are required.
+// Config holds the dependencies of a Handler. All fields except Recorder and Memory are
+// required.
 type Config struct {
 	HeaderCodec  HeaderCodec
 	RouterSource RouterSource
@@ -41,6 +43,8 @@
 	Watchdog     Watchdog
 	Relayer      Relayer
 	Recorder     Recorder
+	// Memory bounds what is buffered of requests and responses; nil means no limit.
+	Memory *reserver.Reserver
 	// MaxConfirmationAge returns how long the configuration may be used after its last
 	// confirmation. Later, requests are rejected with status 503, as their keys may
 	// have been withdrawn.
@@ -60,10 +64,17 @@
 	// relayed counts the requests from other hosts that are in progress.
 	relayed  atomic.Int64
 	attestor attestor.Attestor
+	// targetBodies counts the request bodies that are in flight.
+	targetBodies targetBodies
 }
 
 // New returns a Handler that is ready to serve.
-func New(cfg Config) *Handler { return &Handler{cfg: cfg} }
+func New(cfg Config) *Handler {
+	if cfg.Memory == nil {
+		cfg.Memory = &reserver.Reserver{}
+	}
+	return &Handler{cfg: cfg}
+}
 
 // DisableKeepAlives makes the handler close each caller's connection after its next
 // response. It may be called at any time.
@@ -95,7 +106,9 @@
 	maxSends int
 	// evidence tells whether the request may have run.
 	evidence attestor.Evidence
-	record   Record
+	// memory is what the request has reserved of the host's memory.
+	memory holding
+	record Record
 }
 
 // ServeHTTP implements http.Handler.
@@ -120,6 +133,11 @@
 		q.reject(&rejection{status: http.StatusBadGateway, reason: reasonCopy})
 		return
 	}
+	if rej := q.reserveBody(); rej != nil {
+		q.reject(rej)
+		return
+	}
+	defer q.memory.end()
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.start.Add(q.record.Timeout))
 	defer cancel()
 	if q.mayRelay() {
@@ -162,7 +180,7 @@
 		return false
 	}
 	switch rej.reason {
-	case reasonLeaving, reasonNoConfiguration, reasonUnconfirmed, reasonOutdated, reasonCutOff:
+	case reasonLeaving, reasonNoConfiguration, reasonUnconfirmed, reasonOutdated, reasonCutOff, reasonNoMemory:
 		return true
 	default:
 		return false
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"gypsumbeam.example/gypsumbeam/pkg/attestor"
@@ -117,7 +118,7 @@
 		}
 	}
 	if res.usable && res.stream {
-		res.release = release
+		res.release = sync.OnceFunc(release)
 	} else {
 		release()
 	}
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"gypsumbeam.example/gypsumbeam/pkg/balancer"
@@ -57,7 +57,7 @@
 	var avoid []ids.Target
 	var pickErr error
 	for n := 0; n < q.maxSends; n++ {
-		if n > 0 && !q.mayRetry(ctx) {
+		if n > 0 && !p.passedOver() && !q.mayRetry(ctx) {
 			break
 		}
 		if n > 0 && q.mayRelay() {
@@ -95,8 +95,11 @@
 	if !res.notRun && res.reason != reasonLinkLost {
 		p.sends++
 	}
-	if p.last != nil && p.last.release != nil {
-		p.last.release()
+	if p.last != nil {
+		q.dropBody(p.last)
+		if p.last.release != nil {
+			p.last.release()
+		}
 	}
 	p.last = res
 }
@@ -179,6 +182,10 @@
 // records the attempt.
 func (q *request) attempt(ctx context.Context, c *balancer.Choice) *result {
 	start := time.Now()
+	releaseTarget, ok := q.reserveTarget(c)
+	if !ok {
+		return q.passOver(c)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	stopWatching := q.cancelIfCutOff(ctx, cancel)
 	end := q.h.cfg.Watchdog.Begin(c.Address)
@@ -191,10 +198,11 @@
 		if res.resp != nil {
 			_ = res.resp.Body.Close() // the rest is not needed
 		}
+		releaseTarget()
 		c.Done(res.outcome)
 	}
 	if res.usable && res.stream {
-		res.release = release
+		res.release = sync.OnceFunc(release) // the end of the response releases too
 	} else {
 		release()
 	}
@@ -230,11 +238,16 @@
 	case res.resp.ContentLength >= 0:
 		header.Set("Content-Length", strconv.FormatInt(res.resp.ContentLength, 10))
 	}
+	var rest *readAhead
+	if res.stream {
+		rest = q.readAhead(res) // the writes below may wait for a slow caller
+		defer rest.stop()
+	}
 	q.w.WriteHeader(res.resp.StatusCode)
 	_, err := q.w.Write(res.body)
-	res.body = nil // a long response may take long to be passed on
+	q.dropBody(res) // a long response may take long to be passed on
 	if err == nil && res.stream {
-		err = q.copyRest(res)
+		err = q.copyRest(rest)
 	}
 	if res.release != nil {
 		res.release()
@@ -246,25 +259,6 @@
 	}
 }
 
-// copyRest copies the rest of a long response body to the caller.
-func (q *request) copyRest(res *result) error {
-	buf := make([]byte, copyBufferBytes)
-	for {
-		n, err := res.resp.Body.Read(buf)
-		if n > 0 {
-			if _, werr := q.w.Write(buf[:n]); werr != nil {
-				return werr
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 // giveUp responds to a request for which no target's response can be passed on. The
 // status is 503 if the request certainly did not run, or 400 if it is known to crash
 // targets.
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -27,6 +27,7 @@
 	"gypsumbeam.example/gypsumbeam/pkg/pacer"
 	"gypsumbeam.example/gypsumbeam/pkg/pipeliner"
 	"gypsumbeam.example/gypsumbeam/pkg/registrar"
+	"gypsumbeam.example/gypsumbeam/pkg/reserver"
 	"gypsumbeam.example/gypsumbeam/pkg/retrier"
 	"gypsumbeam.example/gypsumbeam/pkg/router"
 	"gypsumbeam.example/gypsumbeam/pkg/throttler"
@@ -84,8 +85,8 @@
 	return b.RateExcess*(w.Rate*b.RateWindow.Seconds()+w.Burst) + b.RateSlack
 }
 
-// Config holds the settings and dependencies of a Host. All fields except Dial are
-// required.
+// Config holds the settings and dependencies of a Host. All fields except Dial and
+// BufferBytes are required.
 type Config struct {
 	Self    lister.Host
 	Regions map[ids.Zone]ids.Region
@@ -99,6 +100,8 @@
 	State State
 	// Conn carries the datagrams between hosts. Stop closes it.
 	Conn net.PacketConn
+	// BufferBytes bounds the memory for parts of requests and responses; 0 means no limit.
+	BufferBytes int64
 	// Dial opens a connection to a target; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -128,6 +131,7 @@
 	handler     *gateway.Handler
 	server      *pipeliner.Server
 	recorder    *recorder
+	memory      *reserver.Reserver
 	apportioner apportioner
 	metrics     collector.Collector
 	broadcaster *siblings.Broadcaster
@@ -138,7 +142,7 @@
 
 // New returns a Host that is not started.
 func New(cfg Config) *Host {
-	h := &Host{cfg: cfg, log: logflags.Logger(logflags.EntryHost), lister: &lister.Lister{}}
+	h := &Host{cfg: cfg, log: logflags.Logger(logflags.EntryHost), lister: &lister.Lister{}, memory: reserver.New(cfg.BufferBytes)}
 	h.bounds.Store(&cfg.Bounds)
 	h.recorder = newRecorder(&h.metrics)
 	h.balancer = balancer.New(balancer.Config{
@@ -164,7 +168,7 @@
 	h.watchdog.OnChange = func(cutOff bool) { h.log.WithField("cutOff", cutOff).Warn("links to targets changed") }
 	h.handler = gateway.New(gateway.Config{
 		HeaderCodec: cfg.HeaderCodec, RouterSource: h, Confirmer: cfg.Confirmer, Balancer: h.balancer, RateLimiter: &h.throttler,
-		Sender: h.sender, RetryBudget: &h.budget, Isolator: &h.isolator, Watchdog: &h.watchdog, Relayer: h.relayer, Recorder: h.recorder,
+		Sender: h.sender, RetryBudget: &h.budget, Isolator: &h.isolator, Watchdog: &h.watchdog, Relayer: h.relayer, Recorder: h.recorder, Memory: h.memory,
 		MaxConfirmationAge: h.MaxConfirmationAge, Outdated: cfg.State.Outdated, RetryRatio: func() float64 { return h.bounds.Load().RetryRatio },
 	})
 	h.broadcaster = siblings.New(siblings.Config{
@@ -177,13 +181,14 @@
 	return h
 }
 
-// registerGauges adds the traffic between hosts to the metrics.
+// registerGauges adds the traffic between hosts and the memory for buffers to the metrics.
 func (h *Host) registerGauges() {
 	traffic := h.broadcaster.Traffic()
 	h.metrics.Gauge("siblings.messages", traffic.Messages.Load)
 	h.metrics.Gauge("siblings.bytes.zone", traffic.IntraZoneBytes.Load)
 	h.metrics.Gauge("siblings.bytes.region", traffic.InterZoneBytes.Load)
 	h.metrics.Gauge("siblings.bytes.far", traffic.InterRegionBytes.Load)
+	h.metrics.Gauge("memory.reservedBytes", h.memory.Used)
 }
 
 // instances returns the hosts that accept callers.
