--- a/service/gateway/memory_test.go
+++ b/service/gateway/memory_test.go
@@ -35,6 +35,8 @@
 	env      *environment
 	memory   *reserver.Reserver
 	balancer *balancer.Balancer
+	// retries is the share of requests that may be retried.
+	retries float64
 }
 
 func newMemoryHost(limit int64, sender gateway.Sender) *memoryHost {
@@ -42,7 +44,7 @@
 	d := document()
 	d.Limits.MaxBodyBytes = 0
 	env.router.Store(router.New(d))
-	h := &memoryHost{env: env, memory: reserver.New(limit)}
+	h := &memoryHost{env: env, retries: 1, memory: reserver.New(limit)}
 	h.balancer = balancer.New(balancer.Config{Zone: "e1", Regions: map[ids.Zone]ids.Region{"e1": "east"}})
 	h.balancer.SetTargets([]registrar.Target{
 		{ID: "one", Service: "a", Address: "10.0.0.1:1", Zone: "e1", Slots: 20},
@@ -53,7 +55,7 @@
 		RateLimiter: env, Sender: sender, RetryBudget: &retrier.Budget{}, Watchdog: &env.links, Relayer: &env.hosts, Memory: h.memory,
 		MaxConfirmationAge: func() time.Duration { return maxConfirmationAge },
 		Outdated:           func() bool { return false },
-		RetryRatio:         func() float64 { return 1 },
+		RetryRatio:         func() float64 { return h.retries },
 	})
 	return h
 }
@@ -264,6 +266,7 @@
 			time.Sleep(time.Second)
 			return response(r, 0, http.NoBody)
 		}))
+		h.retries = 0
 		counts := make(map[string]int)
 		post := func(bytes int64) {
 			caller := newSlowCaller(0)
@@ -279,6 +282,7 @@
 		wg.Wait()
 		is.Equal(counts, map[string]int{"200": 6, "503targetFull\n": 4})
 		is.Equal(most, map[string]int64{"10.0.0.1:1": 15 << 20, "10.0.0.2:1": 15 << 20})
+		is.Equal(len(h.balancer.InFlight()), 0)
 		post(20 << 20) // one body is always sent
 		is.Equal(counts["200"], 7)
 	})
@@ -356,8 +360,8 @@
 	}
 }
 
-// A response that breaks off while it is read ahead must not look complete, and must release
-// its memory, also if it has no length.
+// A response that breaks off while it is read ahead must not look complete, also if it has no
+// length. Its memory must be released without waiting for a slow caller to take the rest.
 func TestResponseBreaksOffDuringReadAhead(t *testing.T) {
 	for _, length := range []int64{-1, 1 << 20} {
 		synctest.Test(t, func(t *testing.T) {
@@ -365,7 +369,9 @@
 			h := newMemoryHost(64<<20, senderFunc(func(_ context.Context, _ string, r *http.Request) (*http.Response, bool, error) {
 				return response(r, length, io.MultiReader(io.LimitReader(zeros{}, 500<<10), errReader{}))
 			}))
+			start := time.Now()
 			is.True(!h.serve(newSlowCaller(time.Second), "/read/", 0))
+			is.True(time.Since(start) <= 2*time.Second)
 			is.Equal(h.memory.Used(), int64(0))
 		})
 	}
