--- a/pkg/shifter/shifter.go
+++ b/pkg/shifter/shifter.go
@@ -35,6 +35,10 @@
 	// gain is the part of the requests that move in a second for each unit of utilisation
 	// beyond the bounds.
 	gain = 0.4
+	// outageRate is the part of the requests that leaves in a second while the own region has
+	// no targets: they run elsewhere anyway, and must not all return at once with the first
+	// target. A short outage moves few of them.
+	outageRate = 0.5
 	// expectedUtilisation is the utilisation that is assumed before any was measured.
 	expectedUtilisation = 0.5
 	// maxStep bounds the time that one Update makes up for.
@@ -44,7 +48,8 @@
 // Shifter holds the shares of one service. The zero value sends everything to this host's own
 // region until the first Update. It is not safe for concurrent use.
 type Shifter struct {
-	// others are the shares of the other regions, sorted by name. The rest is the own one's.
+	// others are the shares of the other regions, sorted by name. The rest is the own one's. A
+	// region without targets has none, but keeps its place.
 	others    []share
 	updatedAt time.Time
 }
@@ -68,7 +73,7 @@
 func (s *Shifter) Update(own ids.Region, loads []Load, now time.Time) {
 	rest := otherLoads(own, loads)
 	if len(rest) == 0 {
-		s.others = nil
+		s.others, s.updatedAt = nil, now
 		return
 	}
 	mine := loadOf(own, loads)
@@ -95,6 +100,8 @@
 	}
 	here, there := mine.utilisation(), total.utilisation()
 	switch {
+	case mine.Slots == 0:
+		return outageRate
 	case here > highUtilisation && here > there+minDifference:
 		return min(gain*min(here-highUtilisation, here-there), maxRate)
 	case here < lowUtilisation:
@@ -136,50 +143,58 @@
 	for _, l := range rest {
 		total += l.room()
 	}
-	for i := range s.others {
-		s.others[i].part += part * loadOf(s.others[i].region, rest).room() / total
+	for _, l := range rest {
+		i, _ := s.find(l.Region)
+		s.others[i].part += part * l.room() / total
 	}
 }
 
 // follow makes others list the given regions. The part of a region that is gone returns.
 func (s *Shifter) follow(rest []Load) {
-	s.others = slices.DeleteFunc(s.others, func(o share) bool {
-		return !slices.ContainsFunc(rest, func(l Load) bool { return l.Region == o.region })
-	})
+	for i := range s.others {
+		if !slices.ContainsFunc(rest, func(l Load) bool { return l.Region == s.others[i].region }) {
+			s.others[i].part = 0
+		}
+	}
 	for _, l := range rest {
-		i, known := slices.BinarySearchFunc(s.others, l.Region, func(o share, r ids.Region) int { return cmp.Compare(o.region, r) })
-		if !known {
+		if i, known := s.find(l.Region); !known {
 			s.others = slices.Insert(s.others, i, share{region: l.Region})
 		}
 	}
 }
 
+// find returns the index of another region, or where it belongs if it is not known.
+func (s *Shifter) find(region ids.Region) (int, bool) {
+	return slices.BinarySearchFunc(s.others, region, func(o share, r ids.Region) int { return cmp.Compare(o.region, r) })
+}
+
 // Region returns the region of an object, or own for most objects while most requests stay
 // there. A change of the shares changes the region of few objects.
 func (s *Shifter) Region(own ids.Region, object uint32) ids.Region {
-	stay, choice := fractions(object)
-	away := 1 - s.Own()
-	if stay >= away {
-		return own
-	}
-	x := choice * away
-	for _, o := range s.others {
-		if x < o.part {
+	x := fraction(object)
+	low, high := 0.0, 1.0
+	for i, o := range s.others {
+		// The other regions take objects from both ends, so that a change of the share of one of
+		// two moves no objects between them.
+		if i%2 == 0 {
+			low += o.part
+		} else {
+			high -= o.part
+		}
+		if x < low || x >= high {
 			return o.region
 		}
-		x -= o.part
 	}
 	return own
 }
 
-// fractions returns two independent numbers from 0 to 1 that depend on the object.
-func fractions(object uint32) (a, b float64) {
+// fraction returns a number from 0 to 1 that depends on the object.
+func fraction(object uint32) float64 {
 	x := uint64(object) + 0x9e3779b97f4a7c15
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	x ^= x >> 31
-	const scale = 1.0 / (1 << 32)
-	return float64(x>>32) * scale, float64(uint32(x)) * scale
+	return float64(x>>11) / (1 << 53)
 }
 
 // utilisation returns the ratio of requests to slots.
