--- a/internal/loadsim/loadsim.go
+++ b/internal/loadsim/loadsim.go
@@ -55,6 +55,11 @@
 	// CrossZoneDelay and CrossRegionDelay are the one-way network delays between the
 	// zones of a region and between regions.
 	CrossZoneDelay, CrossRegionDelay time.Duration
+	// Speed is how the speed of the targets changes, and Fault a fault of them.
+	Speed Speed
+	Fault Fault
+	// Retries is the number of times that a refused request is sent to another target.
+	Retries int
 }
 
 // Class is a class of requests.
@@ -205,7 +210,7 @@
 		r.regions[z.Name] = z.Region
 		for i := range z.Targets {
 			id := ids.Target(fmt.Sprintf("%s-%d", z.Name, i))
-			r.targets[id] = newTarget(r.deployment, z.Name)
+			r.targets[id] = newTarget(r.deployment, id, z.Name, r.began)
 			all = append(all, registrar.Target{
 				ID: id, Service: "s", Zone: z.Name, Slots: r.deployment.Slots, Address: fmt.Sprintf("10.0.0.%d:%d", i, len(all)+1),
 			})
@@ -295,26 +300,55 @@
 func (r *simulation) process(h *host, q request) {
 	began := time.Now()
 	object := balancer.HashObject(q.class.Name, q.object)
-	c, err := h.balancer.Pick(balancer.Request{
-		Service: "s", Class: q.class.Name, Object: object, Objective: q.class.Objective, TimeLeft: q.class.Deadline,
-	})
-	if err != nil {
-		r.record(q, began, false)
-		return
+	wanted := balancer.Request{Service: "s", Class: q.class.Name, Object: object, Objective: q.class.Objective}
+	answered := false
+	for n := 0; n <= r.deployment.Retries && !answered; n++ {
+		wanted.TimeLeft = q.class.Deadline - time.Since(began)
+		c, err := h.balancer.Pick(wanted)
+		if err != nil {
+			break
+		}
+		if n == 0 {
+			r.recordPlacement(q, began, c.Zone)
+		}
+		answered = r.send(c, object, q)
+		wanted.Avoid = append(wanted.Avoid, c.Target)
 	}
-	r.recordPlacement(q, began, c.Zone)
+	r.record(q, began, answered)
+}
+
+// send sends a request to a target, and reports whether it answered.
+func (r *simulation) send(c *balancer.Choice, object balancer.ObjectHash, q request) bool {
 	if r.sharing == InstantSharing {
 		r.exchange()
 	}
 	delay := r.delay(q.zone, c.Zone)
 	time.Sleep(delay)
-	answered := r.targets[c.Target].serve(object, q)
+	answered, warm, report := r.targets[c.Target].serve(object, q)
+	if answered {
+		r.recordWork(c.Warm, warm)
+	}
 	time.Sleep(delay)
-	c.Done(balancer.Result{Answered: answered, Shed: !answered})
+	c.Done(balancer.Result{Answered: answered, Shed: !answered, LoadReport: report})
 	if r.sharing == InstantSharing {
 		r.exchange()
 	}
-	r.record(q, began, answered)
+	return answered
+}
+
+// recordWork records the end of work on an object, which the host believed to be warm, and
+// whether it was.
+func (r *simulation) recordWork(believed, warm bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	interval := r.result.Timeline.at(time.Since(r.began))
+	interval.Served++
+	if warm {
+		interval.Warm++
+	}
+	if warm == believed {
+		interval.BelievedRight++
+	}
 }
 
 // recordPlacement records the region that a request was sent to.
--- a/internal/loadsim/timeline.go
+++ b/internal/loadsim/timeline.go
@@ -40,6 +40,9 @@
 	Zones   map[ids.Zone]*Group
 	// BusySlots is the mean number of slots in use, by the targets' zone.
 	BusySlots map[ids.Zone]float64
+	// Served counts the requests that targets answered, Warm those whose object was warm, and
+	// BelievedRight those for which the host knew whether it was.
+	Served, Warm, BelievedRight int
 }
 
 // Timeline holds the outcomes of a simulation over time.
--- a/pkg/balancer/candidates.go
+++ b/pkg/balancer/candidates.go
@@ -35,21 +35,28 @@
 		}
 		pl.placer = placer.New(cfg.Zone, cfg.Regions[cfg.Zone], places)
 	}
+	return pl.placer.Candidates(uint32(o))
+}
+
+// orAnonymous returns the object that decides the candidates and the region of a request: its
+// own one, or a different one for each choice if it has none. The caller holds the lock.
+func (pl *pool) orAnonymous(o ObjectHash) ObjectHash {
 	if o == NoObject {
-		o = ObjectHash(pl.choiceCount % anonymousObjects)
+		return ObjectHash(pl.choiceCount % anonymousObjects)
 	}
-	return pl.placer.Candidates(uint32(o))
+	return o
 }
 
 // scanCandidates considers the candidates in the region that the object has now, else those in
 // other regions, and all targets if none of them is eligible.
 func (s *search) scanCandidates() {
-	groups := s.pool.candidates(&s.balancer.cfg, s.request.Object)
+	object := s.pool.orAnonymous(s.request.Object)
+	groups := s.pool.candidates(&s.balancer.cfg, object)
 	if !s.pool.reportsSlowdown {
 		s.scanGroups(groups, func(ids.Region) bool { return true })
 	} else {
 		own := s.balancer.cfg.Regions[s.balancer.cfg.Zone]
-		region := s.pool.shifter.Region(own, uint32(s.request.Object))
+		region := s.pool.shifter.Region(own, uint32(object))
 		s.scanGroups(groups, func(r ids.Region) bool { return r == region })
 		if s.eligible == 0 {
 			s.scanGroups(groups, func(r ids.Region) bool { return r != region })
