service/gateway: tests of health checks; checks count towards the deadline, and one that fails changes nothing

A check answered with an error status was taken in, the time that checks took was not subtracted before the choice, and a connection that carried another response was used again.

--- a/pkg/balancer/check_test.go
+++ b/pkg/balancer/check_test.go
@@ -73,7 +73,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				bal, _ := newBalancer(2, "e1")
-				warmAtBoth(t, bal, "a")
+				warmAtBoth(t, bal)
 				w := request("a")
 				w.Objective = warmWork * 3 / 2
 				best := probe(t, bal, w).Target
@@ -101,7 +101,7 @@
 				{ID: "e1-0", Service: "s", Zone: "x1", Slots: slots, Address: "10.0.0.1:80"},
 				{ID: "e1-1", Service: "s", Zone: "x2", Slots: slots, Address: "10.0.0.2:80"},
 			})
-			warmAtBoth(t, bal, "a")
+			warmAtBoth(t, bal)
 			w := request("a")
 			w.Objective = warmWork * 3 / 2
 			is.True(probe(t, bal, w).Warm)
@@ -116,7 +116,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		bal, _ := newBalancer(2, "e1")
-		warmAtBoth(t, bal, "a")
+		warmAtBoth(t, bal)
 		w := request("a")
 		w.Objective = warmWork * 3 / 2
 		checked := make(map[ids.Target][]time.Time)
@@ -142,7 +142,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		bal, _ := newBalancer(2, "e1")
-		warmAtBoth(t, bal, "a")
+		warmAtBoth(t, bal)
 		w := request("a")
 		w.Objective = warmWork * 3 / 2
 		first, ok := bal.CheckFirst(w)
@@ -168,7 +168,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		bal, _ := newBalancer(2, "e1")
-		warmAtBoth(t, bal, "a")
+		warmAtBoth(t, bal)
 		dispatched, _ := bal.Dispatches(0, 1000)
 		for n := range 100 {
 			bal.CheckFirst(request(fmt.Sprint(n % 3)))
--- a/pkg/balancer/slowdown_test.go
+++ b/pkg/balancer/slowdown_test.go
@@ -38,14 +38,14 @@
 	return w
 }
 
-// warmAtBoth makes an object warm at the targets e1-0 and e1-1, which report their speed.
-func warmAtBoth(t *testing.T, bal *balancer.Balancer, object string) {
+// warmAtBoth makes the object a warm at the targets e1-0 and e1-1, which report their speed.
+func warmAtBoth(t *testing.T, bal *balancer.Balancer) {
 	t.Helper()
 	for n := range 40 { // service times are known, and no target is unused
 		serveAt(t, bal, request(fmt.Sprint("other", n%4)), warmWork, usual)
 	}
-	serveAt(t, bal, avoid(request(object), "e1-0"), warmWork, usual)
-	serveAt(t, bal, avoid(request(object), "e1-1"), warmWork, usual)
+	serveAt(t, bal, avoid(request("a"), "e1-0"), warmWork, usual)
+	serveAt(t, bal, avoid(request("a"), "e1-1"), warmWork, usual)
 	time.Sleep(time.Second) // reports have faded
 }
 
@@ -96,7 +96,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		bal, all := newBalancer(2, "e1")
-		warmAtBoth(t, bal, "a")
+		warmAtBoth(t, bal)
 		for n := range 10 {
 			slowOne, other := all[n%2].ID, all[1-n%2].ID
 			serveAt(t, bal, avoid(request("b"), other), warmWork, slow)
--- a/service/gateway/health.go
+++ b/service/gateway/health.go
@@ -28,27 +28,37 @@
 		if !ok {
 			return
 		}
-		info, err := q.h.health(ctx, q.router, q.service, c)
-		if err != nil || info.Target != c.Target {
+		report, ok := q.h.health(ctx, q.router, q.service, c)
+		if !ok {
 			return
 		}
-		q.h.cfg.Balancer.ObserveHealth(c.Target, info.LoadReport)
+		q.h.cfg.Balancer.ObserveHealth(c.Target, report)
 	}
 }
 
-// health checks the health of a target.
-func (h *Handler) health(ctx context.Context, r *router.Router, service ids.Service, c balancer.Candidate) (HealthInfo, error) {
+// health checks the health of a target. It returns false if the check failed, or another target
+// responded.
+func (h *Handler) health(
+	ctx context.Context, r *router.Router, service ids.Service, c balancer.Candidate,
+) (report balancer.LoadReport, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Address+r.HealthPath(service), nil)
 	if err != nil {
-		return HealthInfo{}, err
+		return report, false
 	}
 	resp, _, err := h.cfg.Sender.Do(ctx, c.Address, req)
 	if err != nil {
-		return HealthInfo{}, err
+		return report, false
+	}
+	info := h.cfg.HeaderCodec.ReadHealth(resp.Header)
+	if info.Target != c.Target {
+		// It may be the response to an earlier request, and this one's may still come.
+		closeConnection(resp)
+		_ = resp.Body.Close()
+		return report, false
 	}
 	_, _ = io.CopyN(io.Discard, resp.Body, maxHealthBytes) // so that the connection can be used again
 	_ = resp.Body.Close()
-	return h.cfg.HeaderCodec.ReadHealth(resp.Header), nil
+	return info.LoadReport, resp.StatusCode >= 200 && resp.StatusCode < 300
 }
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -68,9 +68,8 @@
 			pickErr = err
 			break
 		}
-		wanted := q.balancerRequest(avoid)
-		q.checkHealth(ctx, wanted)
-		choice, err := q.h.cfg.Balancer.Pick(wanted)
+		q.checkHealth(ctx, q.balancerRequest(avoid))
+		choice, err := q.h.cfg.Balancer.Pick(q.balancerRequest(avoid)) // the checks took time
 		if err != nil {
 			pickErr = err
 			break
