--- a/pkg/balancer/slowdown.go
+++ b/pkg/balancer/slowdown.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// slowdownAt returns the estimated slowdown at now: the reported one, fading to 1.
+// slowdownNow returns the estimated slowdown at now: the reported one, fading to 1.
 func (t *target) slowdownNow(now time.Time) float64 {
 	age := now.Sub(t.slowdownAt)
 	if t.slowdown <= 0 || age >= slowdownValidity {
