--- a/pkg/balancer/candidates.go
+++ b/pkg/balancer/candidates.go
@@ -21,6 +21,9 @@
 	// looked for, and holderPenalty is added for those that are no candidates.
 	maxHolders    = 2
 	holderPenalty = 4 * orderPenalty
+	// sampleSize is the number of targets of a service that are considered for a request whose
+	// candidates are full.
+	sampleSize = 32
 	// anonymousObjects is the number of lists of candidates among which requests without an
 	// object are spread.
 	anonymousObjects = 1024
@@ -39,29 +42,59 @@
 		}
 		pl.placer = placer.New(cfg.Zone, cfg.Regions[cfg.Zone], places)
 	}
+	return pl.placer.Candidates(uint32(o))
+}
+
+// orAnonymous returns the object that decides the candidates and the region of a request: its
+// own one, or a different one for each choice if it has none. The caller holds the lock.
+func (pl *pool) orAnonymous(o ObjectHash) ObjectHash {
 	if o == NoObject {
-		o = ObjectHash(pl.choiceCount % anonymousObjects)
+		return ObjectHash(pl.choiceCount % anonymousObjects)
 	}
-	return pl.placer.Candidates(uint32(o))
+	return o
 }
 
 // scanCandidates considers the candidates in the region that the object has now, else those in
 // other regions, and all targets if none of them is eligible.
 func (s *search) scanCandidates() {
-	groups := s.pool.candidates(&s.balancer.cfg, s.request.Object)
+	object := s.pool.orAnonymous(s.request.Object)
+	groups := s.pool.candidates(&s.balancer.cfg, object)
 	own := s.balancer.cfg.Regions[s.balancer.cfg.Zone]
-	region := s.pool.shifter.Region(own, uint32(s.request.Object))
+	region := s.pool.shifter.Region(own, uint32(object))
 	s.scanGroups(groups, func(r ids.Region) bool { return r == region })
 	s.scanHolders(region)
+	if s.full() {
+		s.scanSample(region)
+	}
 	if s.eligible == 0 {
 		s.scanGroups(groups, func(r ids.Region) bool { return r != region })
 	}
 	if s.eligible == 0 {
-		s.limited = nil
 		s.scanAll()
 	}
 }
 
+// full reports whether the candidates have no room, though the service has.
+func (s *search) full() bool {
+	if s.eligible == 0 || s.pool.pressure >= maxPressureWithRoom {
+		return false
+	}
+	return s.best.target == nil || s.best.QueueDelay > 0 && s.best.QueueDelay+s.best.ServiceTime > s.request.Objective
+}
+
+// scanSample considers some targets of a region, others for each request. So the requests for an
+// object that is more popular than its candidates can bear get further targets.
+func (s *search) scanSample(region ids.Region) {
+	n := len(s.pool.targets)
+	stride := max(n/sampleSize, 1)
+	first := int(s.pool.choiceCount % uint64(stride))
+	for i := first; i < n; i += stride {
+		if t := s.pool.targets[i]; t.region == region {
+			s.consider(t, holderPenalty)
+		}
+	}
+}
+
 // scanHolders considers further targets of a region that have the object, unless enough
 // candidates do. They got it while others took no requests, or before the targets changed.
 func (s *search) scanHolders(region ids.Region) {
--- a/pkg/balancer/pick.go
+++ b/pkg/balancer/pick.go
@@ -173,6 +173,10 @@
 // consider takes in a target if it is eligible, and reports whether it is. Its score is
 // increased by penalty.
 func (s *search) consider(t *target, penalty time.Duration) bool {
+	if t.consideredIn == s.pool.choiceCount {
+		return false
+	}
+	t.consideredIn = s.pool.choiceCount
 	if s.evacuated[t.Zone] || !t.eligible(s.request, s.now) {
 		return false
 	}
--- a/pkg/balancer/survey.go
+++ b/pkg/balancer/survey.go
@@ -93,6 +93,29 @@
 	return float64(max(t.Slots, 1)) / max(t.slowdownNow(now), 1)
 }
 
+// ServiceLoad is the load of a service as this host sees it.
+type ServiceLoad struct {
+	// Pressure is the ratio of requests to slots, more than 1 when requests are queued.
+	Pressure float64
+	// Own is the part of the requests that run in this host's own region.
+	Own float64
+}
+
+// Loads returns the load of each service whose objects have candidates.
+func (b *Balancer) Loads() map[ids.Service]ServiceLoad {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	all := make(map[ids.Service]ServiceLoad)
+	for name, pl := range b.services {
+		pl.mu.Lock()
+		if pl.hasCandidates() && !pl.survey.at.IsZero() {
+			all[name] = ServiceLoad{Pressure: pl.pressure, Own: pl.shifter.Own()}
+		}
+		pl.mu.Unlock()
+	}
+	return all
+}
+
 // HasRoom reports whether the targets of a service have room for work that is not necessary.
 func (b *Balancer) HasRoom(name ids.Service) bool {
 	b.mu.RLock()
--- a/pkg/balancer/target.go
+++ b/pkg/balancer/target.go
@@ -58,6 +58,8 @@
 	// rank is the rank at this target of the object of choice number rankedIn.
 	rank     int
 	rankedIn uint64
+	// consideredIn is the number of the last choice that considered this target.
+	consideredIn uint64
 	// slowness is the ratio of actual to expected service time.
 	slowness float64
 	// slowdown is what the target reported at slowdownAt. checkedAt is when its health was
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -131,6 +131,7 @@
 	handler     *gateway.Handler
 	server      *pipeliner.Server
 	recorder    *recorder
+	loads       loadRecorder
 	memory      *reserver.Reserver
 	apportioner apportioner
 	metrics     collector.Collector
@@ -145,6 +146,7 @@
 	h := &Host{cfg: cfg, log: logflags.Logger(logflags.EntryHost), lister: &lister.Lister{}, memory: reserver.New(cfg.BufferBytes)}
 	h.bounds.Store(&cfg.Bounds)
 	h.recorder = newRecorder(&h.metrics)
+	h.loads.log = h.log
 	h.balancer = balancer.New(balancer.Config{
 		Zone: cfg.Self.Zone, Regions: cfg.Regions, OnLimitHeard: h.recorder.limits.heard,
 		OnLimitedPick: func(s ids.Service) { h.throttler.CountDemand(throttler.HashService(s)) },
@@ -269,6 +271,7 @@
 			h.broadcaster.Tick()
 			h.lister.SetUnavailable(h.broadcaster.Unavailable())
 			h.recorder.limits.flush(time.Now())
+			h.loads.record(h.balancer.Loads())
 		case <-ctx.Done():
 			return
 		}
