--- a/pkg/shifter/shifter.go
+++ b/pkg/shifter/shifter.go
@@ -25,10 +25,13 @@
 	// maxRate bounds the part of the requests that change their region in a second. Operators
 	// allow 0.15 in 2 s, of which a third is left for differences between hosts.
 	maxRate = 0.05
+	// maxReturnRate bounds the part that returns in a second. Each return costs the objects their
+	// warm targets, and is not urgent.
+	maxReturnRate = 0.03
 	// Requests leave a region whose utilisation exceeds highUtilisation, and return below
 	// lowUtilisation. In between, those that already left stay where they are.
 	highUtilisation = 0.7
-	lowUtilisation  = 0.5
+	lowUtilisation  = 0.4
 	// minDifference is by how much a region's utilisation must exceed that of the others
 	// before requests leave it, as another region is further away.
 	minDifference = 0.1
@@ -104,10 +107,12 @@
 		return outageRate
 	case here > highUtilisation && here > there+minDifference:
 		return min(gain*min(here-highUtilisation, here-there), maxRate)
-	case here < lowUtilisation:
-		return max(gain*(here-lowUtilisation), -maxRate)
-	case here < there-minDifference:
+	case there > highUtilisation && here < there-minDifference:
 		return max(gain*(here-there), -maxRate)
+	case here < there-minDifference:
+		return max(gain*(here-there), -maxReturnRate)
+	case here < lowUtilisation:
+		return max(gain*(here-lowUtilisation), -maxReturnRate)
 	default:
 		return 0
 	}
