--- a/service/gateway/ports.go
+++ b/service/gateway/ports.go
@@ -109,6 +109,9 @@
 	// CheckFirst returns the target whose health is to be checked before Pick is called, as
 	// its state decides which target is best. It returns false if there is none.
 	CheckFirst(req balancer.Request) (balancer.Candidate, bool)
+	// HasRoom reports whether the targets of a service have room for work that is not
+	// necessary.
+	HasRoom(name ids.Service) bool
 	// ObserveHealth takes in what a target responded to a health check.
 	ObserveHealth(id ids.Target, report balancer.LoadReport)
 }
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -17,6 +18,10 @@
 const (
 	// retryAfterNoTarget is the Retry-After time if no target could take the request.
 	retryAfterNoTarget = 200 * time.Millisecond
+	// A caller whose request a target refused although its service has room returns after
+	// minRetryAfterWithRoom plus a random part of retryAfterWithRoomSpread.
+	minRetryAfterWithRoom    = 20 * time.Millisecond
+	retryAfterWithRoomSpread = 60 * time.Millisecond
 	// maxReplayBytes is how much of a request body is kept for a retry.
 	maxReplayBytes = 128 << 10
 	// copyBufferBytes is the size of the buffer for streaming longer responses.
@@ -119,6 +124,9 @@
 		return
 	}
 	reason, wait := explain(pickErr)
+	if pickErr == nil && p.last != nil && p.last.reason == "notRun" && q.h.cfg.Balancer.HasRoom(q.service) {
+		wait = minRetryAfterWithRoom + rand.N(retryAfterWithRoomSpread) //nolint:gosec // not a secret
+	}
 	if p.last != nil && reason != reasonIsolated {
 		reason = p.last.reason
 	}
