service/targets: a reset during an upload is no end of a response

A target answered an upload at once with a response that ends with its connection, sent a part of it, and reset the connection while the upload was being written.

Such a response now is complete only if the whole request was written and no write failed.

--- a/service/targets/conn.go
+++ b/service/targets/conn.go
@@ -1,7 +1,6 @@
 package targets
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -14,11 +13,23 @@
 // errResent is the write error that keeps net/http from retrying a request by itself.
 var errResent = errs.New("the request may already have been sent on another connection; not sending it again")
 
-// countedConn counts the attempted writes, and can reject further ones.
+// blankLine ends the header of a request.
+const blankLine = "\r\n\r\n"
+
+// countedConn counts the attempted writes, tracks how much of a request was written, and
+// can reject further writes.
 type countedConn struct {
 	net.Conn
-	writes       atomic.Uint64
 	rejectWrites atomic.Bool
+
+	mu sync.Mutex
+	// attempted counts the writes, and ended those that have returned.
+	attempted, ended uint64
+	failed           bool
+	// matched is how many bytes of the blankLine of the current request were written, and
+	// bodyBytes how many bytes after it.
+	matched   int
+	bodyBytes int64
 }
 
 // Write counts before it writes, so that a failed write counts too. It fails with
@@ -27,18 +38,79 @@
 	if c.rejectWrites.Load() {
 		return 0, errResent
 	}
-	c.writes.Add(1)
-	return c.Conn.Write(b)
+	c.mu.Lock()
+	c.attempted++
+	c.mu.Unlock()
+	n, err := c.Conn.Write(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended++
+	c.failed = c.failed || err != nil
+	c.track(b[:n])
+	return n, err
+}
+
+// track takes in bytes of a request that were written. The caller holds mu.
+func (c *countedConn) track(b []byte) {
+	for c.matched < len(blankLine) {
+		if len(b) == 0 {
+			return
+		}
+		switch b[0] {
+		case blankLine[c.matched]:
+			c.matched++
+		case blankLine[0]:
+			c.matched = 1
+		default:
+			c.matched = 0
+		}
+		b = b[1:]
+	}
+	c.bodyBytes += int64(len(b))
+}
+
+// begin prepares for the next request. It returns the number of attempted writes.
+func (c *countedConn) begin() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.matched, c.bodyBytes = 0, 0
+	return c.attempted
+}
+
+// attempts returns the number of attempted writes.
+func (c *countedConn) attempts() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.attempted
 }
 
 // connTracker tracks the connections that net/http uses for one request. If a reused
 // connection breaks, net/http retries a request that has an Idempotency-Key;
 // connTracker allows that only if nothing was written yet.
 type connTracker struct {
+	// length is the length of the request's body, or -1 if it is not known.
+	length int64
+
 	mu           sync.Mutex
 	conn         *countedConn
 	writesBefore uint64
 	reused       bool
+	// buffered is set when the whole request is in the write buffer of the connection, and
+	// writesBuffered is the number of attempted writes then.
+	buffered       bool
+	writesBuffered uint64
+}
+
+// newConnTracker returns a connTracker for the request.
+func newConnTracker(r *http.Request) *connTracker {
+	switch {
+	case r.Body == nil || r.Body == http.NoBody:
+		return &connTracker{}
+	case r.ContentLength == 0:
+		return &connTracker{length: -1} // net/http takes a length of 0 for unknown
+	default:
+		return &connTracker{length: r.ContentLength}
+	}
 }
 
 // gotConn is the httptrace hook that is called before the request is written to a
@@ -55,37 +127,38 @@
 		return
 	}
 	ct.conn = next
-	ct.writesBefore = next.writes.Load()
+	ct.writesBefore = next.begin()
 	ct.reused = info.Reused
 }
 
-// sent reports whether a write was attempted. The caller holds mu.
-func (ct *connTracker) sent() bool {
-	return ct.conn != nil && ct.conn.writes.Load() > ct.writesBefore
-}
-
-// responseBody is a response body whose connection can be closed, also while the
-// connection carries the next request.
-type responseBody struct {
-	io.ReadCloser
-	conn      *countedConn
-	transport *transport
+// wroteRequest is the httptrace hook that is called when the request was written to the
+// buffer of the connection, which is flushed afterwards.
+func (ct *connTracker) wroteRequest(info httptrace.WroteRequestInfo) {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	if ct.conn != nil && info.Err == nil {
+		ct.buffered, ct.writesBuffered = true, ct.conn.attempts()
+	}
 }
 
-// CloseConnection closes the connection of the response. It also closes the target's
-// idle connections, as net/http would still reuse this one.
-func (b *responseBody) CloseConnection() {
-	_ = b.conn.Close() // it is unusable even if closing it fails
-	b.transport.CloseIdleConnections()
+// sent reports whether a write was attempted. The caller holds mu.
+func (ct *connTracker) sent() bool {
+	return ct.conn != nil && ct.conn.attempts() > ct.writesBefore
 }
 
-// wrapBody gives the response a responseBody.
-func (ct *connTracker) wrapBody(resp *http.Response, t *transport) {
+// progress reports whether the whole request was written, and whether a write failed.
+func (ct *connTracker) progress() (written, failed bool) {
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
-	if ct.conn != nil {
-		resp.Body = &responseBody{resp.Body, ct.conn, t}
+	c := ct.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ct.length >= 0 {
+		return c.matched == len(blankLine) && c.bodyBytes >= ct.length, c.failed
 	}
+	// The end of a chunked body is always in the buffer at first, and flushed by one more
+	// write.
+	return ct.buffered && c.ended > ct.writesBuffered, c.failed
 }
 
 func (ct *connTracker) trace() Trace {
--- a/service/targets/sender.go
+++ b/service/targets/sender.go
@@ -209,7 +209,9 @@
 // Send sends r to the target at address, an IP address and port, and returns the
 // response with its body unread. It follows no redirects, does not change the response,
 // and never writes r to a second connection after a byte of it may have been written to
-// a first. The Trace is valid whether or not there is an error.
+// a first. The Trace is valid whether or not there is an error. If the body of the
+// response ends with its connection, reading it fails unless the whole request was
+// written.
 //
 // The header of r must contain no keys and no hop-by-hop fields. Send sets
 // HeaderTimeout to the time remaining until ctx's deadline, unless OmitTimeout is set.
@@ -217,8 +219,8 @@
 // body of the response has a method CloseConnection, to be called if the response
 // belongs to another request.
 func (s *Sender) Send(ctx context.Context, address string, r *http.Request) (*http.Response, Trace, error) {
-	tracker := &connTracker{}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.gotConn})
+	tracker := newConnTracker(r)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.gotConn, WroteRequest: tracker.wroteRequest})
 	trailer := r.Trailer
 	r = r.Clone(ctx)
 	r.Trailer = trailer // its values are set when the body ends
