service/gateway, service/callers: statuses that are not of a final response are not passed on

net/http accepts the status 000, signs in place of digits, and statuses above 599. From a target, 600 and 999 reached the caller; from another host, 600 and 999 did, and 101 and those below 100 ended the caller's connection by a panic. Now each of them is a failure of the target or the other host: 502, or a retry.

--- a/service/callers/attempt.go
+++ b/service/callers/attempt.go
@@ -129,6 +129,9 @@
 	return overloaded && resp.Header.Get(HeaderShed) == "1"
 }
 
+// maxFinalStatus is the highest valid status of a response.
+const maxFinalStatus = 599
+
 // refusalOf returns the refusal for a response that cannot be passed on, or nil.
 func refusalOf(resp *http.Response, method string) *refusal.Refusal {
 	switch {
@@ -140,6 +143,8 @@
 		return refusal.Unavailable(refusal.CodeTargetShed, "the target shed the request", wait)
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		return unusable(refusal.Unknown, "the target changed the protocol without being asked to")
+	case resp.StatusCode < http.StatusOK || resp.StatusCode > maxFinalStatus:
+		return unusable(refusal.Unknown, "the target's answer has no valid status")
 	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && method != http.MethodHead:
 		return unusable(refusal.Ran, "the target's answer does not say where it ends")
 	default:
--- a/service/callers/faults_test.go
+++ b/service/callers/faults_test.go
@@ -178,6 +178,29 @@
 	})
 }
 
+// A response whose status is not that of a final response must be refused.
+func TestResponseWithInvalidStatusIsRefused(t *testing.T) {
+	for _, status := range []string{"000", "099", "600"} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 0, "west")
+			startTarget(t, f, func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" Any\r\nContent-Length: 1\r\n\r\nx")
+				_ = c.Close()
+			})
+			resp := f.do(t.Context(), f.hosts[0], "GET", "/s/till/x", nil)
+			is.Equal(resp.code(), refusal.CodeTargetAnswerInvalid)
+			is.Equal(resp.outcome(), refusal.Unknown)
+			f.stop()
+			f.net.Kill("10.0.1.1")
+		})
+	}
+}
+
 // A body longer than the replay buffer must not be sent to a second target after the
 // first one has received a part of it.
 func TestLongBodyIsNotSentTwice(t *testing.T) {
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -28,7 +28,7 @@
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	switch {
 	case info.IDMismatch, success && (!info.Stamped || !info.IDMatch), resp.Header.Get("Content-Encoding") != "",
-		resp.StatusCode < http.StatusOK:
+		!isFinal(resp.StatusCode):
 		res.reason = "notItsAnswer"
 		res.outcome.Failed = true
 		closeConnection(resp)
@@ -60,6 +60,13 @@
 	return q.readBody(res)
 }
 
+// maxFinalStatus is the highest valid status of a response.
+const maxFinalStatus = 599
+
+// isFinal reports whether a status is a valid one of a final response. net/http also accepts
+// 000, and signs in place of digits.
+func isFinal(status int) bool { return status >= http.StatusOK && status <= maxFinalStatus }
+
 // connCloser is a response body that can close its connection.
 type connCloser interface{ CloseConnection() }
 
--- a/service/gateway/fuzz_test.go
+++ b/service/gateway/fuzz_test.go
@@ -58,20 +58,27 @@
 // newSingleTargetHandler returns a handler with one target that is reached by dial, its
 // balancer, and a function that closes its idle connections.
 func newSingleTargetHandler(dial func(context.Context, string) (net.Conn, error)) (*gateway.Handler, *balancer.Balancer, func()) {
+	sender := targetsender.NewSender(targetsender.SenderConfig{Dial: dial, OmitTimeout: true})
 	env := &environment{}
-	env.router.Store(router.New(document()))
+	h, lb := newSendingHandler(env, document(), sender, 4, &env.hosts)
+	return h, lb, sender.Close
+}
+
+// newSendingHandler returns a handler with one target, which has a number of slots, and its
+// balancer.
+func newSendingHandler(env *environment, d router.Document, sender gateway.Sender, slots int, relayer gateway.Relayer) (*gateway.Handler, *balancer.Balancer) {
+	env.router.Store(router.New(d))
 	lb := balancer.New(balancer.Config{Zone: "e1", Regions: map[ids.Zone]ids.Region{"e1": "east"}})
-	lb.SetTargets([]registrar.Target{{ID: "one", Service: "a", Address: "10.0.0.1:1", Zone: "e1", Slots: 4}})
-	sender := targetsender.NewSender(targetsender.SenderConfig{Dial: dial, OmitTimeout: true})
+	lb.SetTargets([]registrar.Target{{ID: "one", Service: "a", Address: "10.0.0.1:1", Zone: "e1", Slots: slots}})
 	h := gateway.New(gateway.Config{
 		Isolator:    &isolator.Isolator{},
 		HeaderCodec: testCodec{}, RouterSource: env, Confirmer: env, Balancer: lb, RateLimiter: env, Sender: sender,
-		RetryBudget: &retrier.Budget{}, Recorder: env, Watchdog: &env.links, Relayer: &env.hosts,
+		RetryBudget: &retrier.Budget{}, Recorder: env, Watchdog: &env.links, Relayer: relayer,
 		MaxConfirmationAge: func() time.Duration { return maxConfirmationAge },
 		Outdated:           func() bool { return false },
 		RetryRatio:         func() float64 { return 1 },
 	})
-	return h, lb, sender.Close
+	return h, lb
 }
 
 // serveRaw serves one request whose target responds with the given bytes.
--- a/service/gateway/gateway_test.go
+++ b/service/gateway/gateway_test.go
@@ -130,11 +130,17 @@
 	sender   *fakeSender
 	links    links
 	hosts    fakeRelayer
+	// silent is set if records are not kept, as requests run at once.
+	silent bool
 }
 
 func (env *environment) Router() *router.Router     { return env.router.Load() }
 func (env *environment) Age() (time.Duration, bool) { return env.age, true }
-func (env *environment) Record(r *gateway.Record)   { env.records = append(env.records, r) }
+func (env *environment) Record(r *gateway.Record) {
+	if !env.silent {
+		env.records = append(env.records, r)
+	}
+}
 func (env *environment) RecordCrash(*gateway.Crash) {}
 func (env *environment) Admit(*router.Workspace) (time.Duration, bool) {
 	return 250 * time.Millisecond, !env.overRate
@@ -226,6 +232,7 @@
 		"connectionLost": connectionLost(true), "truncated": truncated(), "otherID": respond(http.StatusOK, "x", "Id", "other"),
 		"unstamped": respond(http.StatusOK, "x", "Stamp", ""), "bare503": respond(http.StatusServiceUnavailable, ""),
 		"encoded": respond(http.StatusOK, "x", "Content-Encoding", "gzip"), "hangs": hang(),
+		"status000": respond(0, "x"), "status600": respond(600, "x"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			withHandler(t, []reply{first, respond(http.StatusOK, "second")}, func(env *environment, h *gateway.Handler) {
@@ -247,6 +254,7 @@
 		"connectionLost": connectionLost(true), "unreachable": connectionLost(false), "truncated": truncated(),
 		"otherID": respond(http.StatusOK, "x", "Id", "other"), "failed": respond(http.StatusInternalServerError, ""),
 		"shed": respond(http.StatusServiceUnavailable, "", "Shed", "1"), "replaced": respond(http.StatusMisdirectedRequest, ""),
+		"status000": respond(0, "x"), "status600": respond(600, "x"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			withHandler(t, []reply{first, respond(http.StatusOK, "second")}, func(env *environment, h *gateway.Handler) {
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -128,13 +128,18 @@
 }
 
 // relayExchange sends the request to one host. What that host responds is passed on, also a
-// refusal, unless the reason is the host's own state.
+// refusal, unless the reason is the host's own state or the status is invalid.
 func (q *request) relayExchange(ctx context.Context, address string, sends int) *result {
 	resp, wrote, err := q.h.cfg.Relayer.Do(ctx, address, q.relayRequest(ctx, address, sends)) //nolint:bodyclose // relayTo closes the body
 	if err != nil {
 		return q.failure(ctx, wrote)
 	}
 	res := &result{resp: resp}
+	if !isFinal(resp.StatusCode) {
+		res.reason = "notItsAnswer"
+		closeConnection(resp)
+		return res
+	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerRelayRefused) != "" {
 		res.reason, res.notRun = reasonCutOff, true
 		return res
