--- a/pkg/balancer/learn.go
+++ b/pkg/balancer/learn.go
@@ -145,6 +145,9 @@
 	case c.rank < 0:
 	case fast && !c.Warm:
 		pl.warmCapacity = min(pl.warmCapacity+warmCapacityStep, maxWarmCapacity)
+	case !fast && c.Warm && pl.hasCandidates() && c.recentlyUsed(pl):
+		// A few requests take long wherever they run. Taken as evidence, those for the objects used
+		// last would make the capacity look far too small.
 	case !fast && c.Warm:
 		pl.warmCapacity = max(pl.warmCapacity-warmCapacityStep, minWarmCapacity)
 	}
