--- a/pkg/balancer/learn.go
+++ b/pkg/balancer/learn.go
@@ -141,14 +141,21 @@
 // learnWarmCapacity corrects the estimate of how many objects a target keeps warm. The
 // caller holds the lock.
 func (c *Choice) learnWarmCapacity(pl *pool, fast bool) {
+	step := 0.0
 	switch {
 	case c.rank < 0:
 	case fast && !c.Warm:
-		pl.warmCapacity = min(pl.warmCapacity+warmCapacityStep, maxWarmCapacity)
-	case !fast && c.Warm && pl.hasCandidates() && c.recentlyUsed(pl):
-		// A few requests take long wherever they run. Taken as evidence, those for the objects used
-		// last would make the capacity look far too small.
+		step = warmCapacityStep
+	case pl.hasCandidates() && c.recentlyUsed(pl):
+		// Some requests take long wherever they run, and would make the capacity look too small.
 	case !fast && c.Warm:
-		pl.warmCapacity = max(pl.warmCapacity-warmCapacityStep, minWarmCapacity)
+		step = -warmCapacityStep
+	case pl.hasCandidates() && c.Warm:
+		step = warmCapacityStep * maxSlowShare
 	}
+	pl.warmCapacity = min(max(pl.warmCapacity+step, minWarmCapacity), maxWarmCapacity)
 }
+
+// maxSlowShare is the share of slow answers for objects that were used long ago up to which the
+// estimate of the capacity grows.
+const maxSlowShare = 0.2
