service/gateway: slow idempotent requests are sent to a second target

Off unless the setting hedging.share is above 0; a reload changes it. The sends run in goroutines that only return a result, and the goroutine that serves the request does the bookkeeping. For this, a target's refusal is confirmed and a crash recorded after the exchange rather than in it.

--- a/pkg/gatewaysettings/gatewaysettings.go
+++ b/pkg/gatewaysettings/gatewaysettings.go
@@ -29,6 +29,7 @@
 	// ranked.
 	Machine Machine `json:"machine"`
 	Bounds  Bounds  `json:"bounds"`
+	Hedging Hedging `json:"hedging"`
 }
 
 // Addresses holds the IP address and port that the host binds for each kind of client.
@@ -90,6 +91,18 @@
 	RateSlack  float64 `json:"rateSlack"`
 }
 
+// Hedging allows that slow idempotent requests are sent to a second target while the first one
+// still has them.
+type Hedging struct {
+	// Share is the share of a service's requests that may be sent a second time, at most
+	// maxHedgingShare; zero means none.
+	Share float64 `json:"share"`
+}
+
+// maxHedgingShare is the greatest share of hedges. Together with retries, sends beyond the first
+// of each request must stay below this share of the requests.
+const maxHedgingShare = 0.2
+
 // Defaults of Bounds.
 const (
 	defaultRevoke     = 5 * time.Second
@@ -139,6 +152,9 @@
 			d.AddFault(m.path, fmt.Sprintf("must not be negative, but is %v", m.value))
 		}
 	}
+	if v := s.Hedging.Share; v < 0 || v > maxHedgingShare {
+		d.AddFault("hedging.share", fmt.Sprintf("must be between 0 and %v, but is %v", maxHedgingShare, v))
+	}
 	for _, t := range []struct{ path, text string }{
 		{"bounds.revoke", s.Bounds.Revoke},
 		{"bounds.grace", s.Bounds.Grace},
--- a/pkg/gatewaysettings/gatewaysettings_test.go
+++ b/pkg/gatewaysettings/gatewaysettings_test.go
@@ -27,15 +27,23 @@
 	is.Equal(s.Bounds.RevocationTime(), 5*time.Second)
 	is.Equal(s.Bounds.GracePeriod(), 6*time.Second)
 	is.Equal(s.Regions()["two"], ids.Region("east"))
+	is.Equal(s.Hedging.Share, 0.0)
+	s, err = gatewaysettings.Parse([]byte(strings.Replace(validSettings, `"store"`, `"hedging": {"share": 0.2}, "store"`, 1)))
+	is.NoErr(err)
+	is.Equal(s.Hedging.Share, 0.2)
 }
 
 func TestInvalidSettings(t *testing.T) {
 	for name, c := range map[string]struct{ old, with, want string }{
-		"noZone":   {`"zone": "one", "region": "west",`, ``, "zone: the host's availability zone is required"},
-		"address":  {`"10.0.0.1:3"`, `"here"`, "listen.readiness: "},
-		"time":     {`"5000ms"`, `"5 seconds"`, "bounds.revoke: "},
-		"unknown":  {`"store"`, `"shop"`, "unknown field"},
-		"mistyped": {`"10.0.0.9:1"`, `9`, "must be a string"},
+		"noZone":      {`"zone": "one", "region": "west",`, ``, "zone: the host's availability zone is required"},
+		"address":     {`"10.0.0.1:3"`, `"here"`, "listen.readiness: "},
+		"time":        {`"5000ms"`, `"5 seconds"`, "bounds.revoke: "},
+		"unknown":     {`"store"`, `"shop"`, "unknown field"},
+		"hedgingHigh": {`"store"`, `"hedging": {"share": 0.21}, "store"`, "hedging.share: must be between 0 and 0.2, but is 0.21"},
+		"hedgingLow":  {`"store"`, `"hedging": {"share": -0.1}, "store"`, "hedging.share: must be between 0 and 0.2, but is -0.1"},
+		"hedgingText": {`"store"`, `"hedging": {"share": "5%"}, "store"`, "hedging.share: must be a number"},
+		"hedgingName": {`"store"`, `"hedging": {"part": 0.1}, "store"`, "unknown field"},
+		"mistyped":    {`"10.0.0.9:1"`, `9`, "must be a string"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/pkg/replayer/replayer.go
+++ b/pkg/replayer/replayer.go
@@ -54,6 +54,16 @@
 	return !r.overflowed && (r.err == nil || errors.Is(r.err, io.EOF))
 }
 
+// Whole reports whether the body was read to its end and a new reader returns all of it
+// without waiting for the source. It is false while a Read is waiting for the source.
+func (r *Replayer) Whole() bool {
+	if !r.mu.TryLock() {
+		return false
+	}
+	defer r.mu.Unlock()
+	return !r.overflowed && errors.Is(r.err, io.EOF)
+}
+
 // TooLarge reports whether the body exceeds its limit. It is false while a Read is
 // waiting for the source.
 func (r *Replayer) TooLarge() bool {
--- a/service/gateway/crash.go
+++ b/service/gateway/crash.go
@@ -94,23 +94,31 @@
 	}
 }
 
-// observeCrash takes in whether the target of an attempt, sent at sentAt, crashed under the
-// request: it ended the connection without a whole response, and refuses connections now. A
-// target that lives has lost only that connection.
-func (q *request) observeCrash(ctx context.Context, c *balancer.Choice, res *result, sentAt time.Time) {
-	switch {
-	case res.notRun:
-		return
-	case res.reason == "answered":
-		q.recordAnswer()
-		return
-	case res.reason != "noAnswer" && res.reason != "brokenOff":
+// probeCrash finds out whether the target of a send crashed under the request: it ended the
+// connection without a whole response, and refuses connections now. A target that lives has
+// lost only that connection. It may run in a goroutine of its own.
+func (q *request) probeCrash(ctx context.Context, c *balancer.Choice, res *result) {
+	if res.notRun || res.reason != "noAnswer" && res.reason != "brokenOff" {
 		return
 	}
 	crashedAt := time.Now()
 	if q.h.cfg.Watchdog.Suspicious() || !q.h.cfg.Sender.Refuses(ctx, c.Address) {
 		return // the link may be lost, or only that connection
 	}
+	res.crashedAt = crashedAt
+}
+
+// observeCrash takes in whether the target of a send, sent at sentAt, crashed under the request
+// or answered it.
+func (q *request) observeCrash(c *balancer.Choice, res *result, sentAt time.Time) {
+	if res.reason == "answered" {
+		q.recordAnswer()
+		return
+	}
+	crashedAt := res.crashedAt
+	if crashedAt.IsZero() {
+		return
+	}
 	f, ok := q.fingerprint()
 	if !ok {
 		return // the target cannot have begun to run it
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -14,11 +14,11 @@
 // is passed on, so that the request can be retried if the response is truncated.
 const maxBufferedBytes = 64 << 10
 
-// exchange sends the request and classifies the response. A response is passed on only
+// exchange sends r to a target and classifies the response. A response is passed on only
 // if it provably belongs to this request: a successful one needs the target's stamp and
-// this request's ID.
-func (q *request) exchange(ctx context.Context, c *balancer.Choice) *result {
-	resp, wrote, err := q.h.cfg.Sender.Do(ctx, c.Address, q.targetRequest(ctx, c)) //nolint:bodyclose // attempt closes the body
+// this request's ID. It may run in a goroutine of its own.
+func (q *request) exchange(ctx context.Context, c *balancer.Choice, r *http.Request) *result {
+	resp, wrote, err := q.h.cfg.Sender.Do(ctx, c.Address, r) //nolint:bodyclose // send.release closes the body
 	if err != nil {
 		return q.failure(ctx, wrote)
 	}
@@ -39,12 +39,7 @@
 		res.outcome = balancer.Result{Failed: true}
 		closeConnection(resp)
 		return res
-	case info.NotRun && !q.evidence.Believe(c.Address):
-		res.reason = "repeatedRefusal"
-		res.outcome = balancer.Result{Failed: true}
-		closeConnection(resp)
-		return res
-	case info.NotRun:
+	case info.NotRun: // complete decides whether that may be believed
 		res.reason = "notRun"
 		res.notRun = true
 		res.outcome.Shed = !info.AddressReused
@@ -60,6 +55,17 @@
 	return q.readBody(res)
 }
 
+// confirmRefusal checks a target's statement that it did not run the request, which may be the
+// response to a copy of it, written once more.
+func (q *request) confirmRefusal(c *balancer.Choice, res *result) {
+	if res.resp == nil || !res.notRun || q.evidence.Believe(c.Address) {
+		return
+	}
+	res.reason, res.notRun = "repeatedRefusal", false
+	res.outcome = balancer.Result{Failed: true}
+	closeConnection(res.resp)
+}
+
 // connCloser is a response body that can close its connection.
 type connCloser interface{ CloseConnection() }
 
@@ -106,6 +112,8 @@
 		res.reason = "bodyBroken"
 	case errors.Is(context.Cause(ctx), errLinkLost):
 		res.reason = reasonLinkLost
+	case errors.Is(context.Cause(ctx), errOvertaken):
+		res.reason = reasonOvertaken
 	case errors.Is(ctx.Err(), context.Canceled):
 		res.reason = "callerGone"
 	case ctx.Err() != nil:
--- a/service/gateway/gateway_test.go
+++ b/service/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -16,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"gypsumbeam.example/gypsumbeam/pkg/balancer"
+	"gypsumbeam.example/gypsumbeam/pkg/hedger"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
 	"gypsumbeam.example/gypsumbeam/pkg/isolator"
 	"gypsumbeam.example/gypsumbeam/pkg/registrar"
@@ -60,9 +62,11 @@
 // reply produces the result of one send.
 type reply func(ctx context.Context, r *http.Request) (*http.Response, bool, error)
 
-// fakeSender responds with its replies in order, and repeats the last one.
+// fakeSender responds with its replies in order, and repeats the last one. It may be called
+// concurrently.
 type fakeSender struct {
 	replies []reply
+	mu      sync.Mutex
 	sends   []*http.Request
 	bodies  []string
 }
@@ -70,14 +74,18 @@
 func (s *fakeSender) Refuses(context.Context, string) bool { return false }
 
 func (s *fakeSender) Do(ctx context.Context, _ string, r *http.Request) (*http.Response, bool, error) {
+	s.mu.Lock()
 	n := min(len(s.sends), len(s.replies)-1)
 	s.sends = append(s.sends, r)
+	s.mu.Unlock()
 	if r.Body != nil {
 		text, err := io.ReadAll(r.Body)
 		if err != nil {
 			return nil, true, err
 		}
+		s.mu.Lock()
 		s.bodies = append(s.bodies, string(text))
+		s.mu.Unlock()
 	}
 	return s.replies[n](ctx, r)
 }
@@ -130,6 +138,13 @@
 	sender   *fakeSender
 	links    links
 	hosts    fakeRelayer
+	balancer *balancer.Balancer
+	isolator isolator.Isolator
+	budget   retrier.Budget
+	// retryRatio is the share of requests that may be retried, and Hedger allows
+	// no hedges by default.
+	retryRatio float64
+	gateway.Hedger
 }
 
 func (env *environment) Router() *router.Router     { return env.router.Load() }
@@ -164,7 +179,7 @@
 func withHandler(t *testing.T, replies []reply, f func(env *environment, h *gateway.Handler)) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
-		env := &environment{sender: &fakeSender{replies: replies}}
+		env := &environment{sender: &fakeSender{replies: replies}, retryRatio: 1, Hedger: &hedger.Hedger{}}
 		env.router.Store(router.New(document()))
 		lb := balancer.New(balancer.Config{Zone: "e1", Regions: map[ids.Zone]ids.Region{"e1": "east", "w1": "west"}})
 		lb.SetTargets([]registrar.Target{
@@ -173,13 +188,14 @@
 			{ID: "three", Service: "a", Address: "10.0.0.3:1", Zone: "e1", Slots: 4},
 			{ID: "west", Service: "a", Address: "10.1.0.1:1", Zone: "w1", Slots: 4},
 		})
+		env.balancer = lb
 		f(env, gateway.New(gateway.Config{
-			Isolator:    &isolator.Isolator{},
+			Isolator: &env.isolator, Hedger: env,
 			HeaderCodec: testCodec{}, RouterSource: env, Confirmer: env, Balancer: lb, RateLimiter: env, Sender: env.sender,
-			RetryBudget: &retrier.Budget{}, Recorder: env, Watchdog: &env.links, Relayer: &env.hosts,
+			RetryBudget: &env.budget, Recorder: env, Watchdog: &env.links, Relayer: &env.hosts,
 			MaxConfirmationAge: func() time.Duration { return maxConfirmationAge },
 			Outdated:           func() bool { return false },
-			RetryRatio:         func() float64 { return 1 },
+			RetryRatio:         func() float64 { return env.retryRatio },
 		}))
 	})
 }
--- a/service/gateway/handler.go
+++ b/service/gateway/handler.go
@@ -28,7 +28,8 @@
 	retryAfterNotReady = 300 * time.Millisecond
 )
 
-// Config holds the dependencies of a Handler. All fields except Recorder are required.
+// Config holds the dependencies of a Handler. All fields except Hedger and Recorder are
+// required.
 type Config struct {
 	HeaderCodec  HeaderCodec
 	RouterSource RouterSource
@@ -37,6 +38,7 @@
 	RateLimiter  RateLimiter
 	Sender       Sender
 	RetryBudget  RetryBudget
+	Hedger       Hedger
 	Isolator     Isolator
 	Watchdog     Watchdog
 	Relayer      Relayer
--- a/service/gateway/ports.go
+++ b/service/gateway/ports.go
@@ -111,6 +111,9 @@
 	CheckFirst(req balancer.Request) (balancer.Candidate, bool)
 	// ObserveHealth takes in what a target responded to a health check.
 	ObserveHealth(id ids.Target, report balancer.LoadReport)
+	// HasRoom reports whether the targets of a service have room for work that is not
+	// necessary.
+	HasRoom(service ids.Service) bool
 }
 
 // RateLimiter enforces the rate limit of each workspace across all hosts.
@@ -160,6 +163,20 @@
 	AllowRetry(svc ids.Service, ws ids.Workspace) bool
 }
 
+// Hedger decides when a slow idempotent request is sent to a second target. Its methods may
+// be called concurrently.
+type Hedger interface {
+	// RecordRequest counts the first send of a request.
+	RecordRequest(service ids.Service)
+	// Observe records the response time of a request of the class.
+	Observe(class string, elapsed time.Duration)
+	// Delay returns how long to wait for the first target, or false if the request is not
+	// to be sent to a second one.
+	Delay(class string) (time.Duration, bool)
+	// Allow reports whether one more hedge is within the share, and counts it.
+	Allow(service ids.Service) bool
+}
+
 // Isolator keeps requests that crash targets from further ones. Its methods may be called
 // concurrently.
 type Isolator interface {
@@ -204,6 +221,9 @@
 	Target ids.Target
 	Zone   ids.Zone
 	Region ids.Region
+	// Hedge reports that the request was sent to the target while it was still in progress
+	// at another one.
+	Hedge bool
 	// Warm reports that the target was believed to have served the object recently, and
 	// Backlog is the estimated number of requests that it held.
 	Warm    bool
@@ -235,7 +255,12 @@
 	Timeout    time.Duration
 	RetryAfter time.Duration
 	Elapsed    time.Duration
-	Attempts   []Attempt
+	// Attempts lists the attempts in the order in which they ended.
+	Attempts []Attempt
+	// Hedge tells what became of a second send while the first one was in progress:
+	// HedgeWon, HedgeLost, HedgeDenied with the reason HedgeReason, or empty if there was no
+	// need of one or it was out of question.
+	Hedge, HedgeReason string
 	// CallerGone reports that the caller disconnected before the response was complete.
 	CallerGone bool
 }
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -33,6 +33,8 @@
 	outcome balancer.Result
 	// notRun reports that the request certainly did not run.
 	notRun bool
+	// crashedAt is the time at which the target crashed under the request, if it did.
+	crashedAt time.Time
 	// limit is what the response told about the target's limit, as far as it counts.
 	limit balancer.Limit
 	// usable reports that resp may be passed on to the caller.
@@ -56,7 +58,7 @@
 	var p progress
 	var avoid []ids.Target
 	var pickErr error
-	for n := 0; n < q.maxSends; n++ {
+	for n := 0; n < q.maxSends; n = len(avoid) {
 		if n > 0 && !q.mayRetry(ctx) {
 			break
 		}
@@ -80,8 +82,7 @@
 			q.giveUp(ctx, reason, retryAfterNotReady)
 			return
 		}
-		avoid = append(avoid, choice.Target)
-		if q.add(&p, q.attempt(ctx, choice)); p.isOver(q.route) || ctx.Err() != nil {
+		if avoid = q.sendTo(ctx, &p, choice, avoid); p.isOver(q.route) || ctx.Err() != nil {
 			break
 		}
 	}
@@ -178,31 +179,78 @@
 // attempt sends the request to one target, reports the outcome to the balancer, and
 // records the attempt.
 func (q *request) attempt(ctx context.Context, c *balancer.Choice) *result {
-	start := time.Now()
-	ctx, cancel := context.WithCancelCause(ctx)
-	stopWatching := q.cancelIfCutOff(ctx, cancel)
-	end := q.h.cfg.Watchdog.Begin(c.Address)
-	res := q.exchange(ctx, c)
-	end(res.resp != nil)
-	stopWatching()
-	q.observeCrash(ctx, c, res, start)
-	release := func() {
-		cancel(nil)
-		if res.resp != nil {
-			_ = res.resp.Body.Close() // the rest is not needed
-		}
-		c.Done(res.outcome)
+	s := q.begin(ctx, c)
+	res := q.run(s)
+	q.complete(s, res)
+	return res
+}
+
+// send is one send of a request to a target.
+type send struct {
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	choice *balancer.Choice
+	// request is the request for the target.
+	request *http.Request
+	// hedge is set if another send was in progress when this one began.
+	hedge bool
+	start time.Time
+	// answered tells the watchdog that the send has ended, and stopWatching ends its watch.
+	answered     func(answered bool)
+	stopWatching func()
+}
+
+// begin prepares a send to the chosen target.
+func (q *request) begin(ctx context.Context, c *balancer.Choice) *send {
+	s := &send{choice: c, start: time.Now()}
+	s.ctx, s.cancel = context.WithCancelCause(ctx)
+	s.stopWatching = q.cancelIfCutOff(s.ctx, s.cancel)
+	s.answered = q.h.cfg.Watchdog.Begin(c.Address)
+	s.request = q.targetRequest(s.ctx, c)
+	return s
+}
+
+// run sends and returns the result. It may run in a goroutine of its own, as it changes
+// nothing of the request and reads only what stays the same.
+func (q *request) run(s *send) *result {
+	res := q.exchange(s.ctx, s.choice, s.request)
+	s.answered(res.resp != nil)
+	s.stopWatching()
+	if res.reason == "brokenOff" && errors.Is(context.Cause(s.ctx), errOvertaken) {
+		res.reason, res.outcome = reasonOvertaken, balancer.Result{} // the target did not fail
 	}
+	q.probeCrash(s.ctx, s.choice, res)
+	return res
+}
+
+// complete takes in the result of a send: it reports the outcome to the balancer, and records
+// the attempt.
+func (q *request) complete(s *send, res *result) {
+	q.confirmRefusal(s.choice, res)
+	q.observeCrash(s.choice, res, s.start)
 	if res.usable && res.stream {
-		res.release = release
+		res.release = func() { s.release(res) }
 	} else {
-		release()
+		s.release(res)
+	}
+	q.recordAttempt(s, res)
+}
+
+// release ends a send whose response is not needed any longer.
+func (s *send) release(res *result) {
+	s.cancel(nil)
+	if res.resp != nil {
+		_ = res.resp.Body.Close() // the rest is not needed
 	}
+	s.choice.Done(res.outcome)
+}
+
+func (q *request) recordAttempt(s *send, res *result) {
+	c := s.choice
 	q.record.Attempts = append(q.record.Attempts, Attempt{
-		Target: c.Target, Zone: c.Zone, Region: c.Region, Warm: c.Warm, Backlog: c.Backlog,
-		Expected: c.QueueDelay + c.ServiceTime, Elapsed: time.Since(start), Result: res.reason, Limit: res.limit,
+		Target: c.Target, Zone: c.Zone, Region: c.Region, Hedge: s.hedge, Warm: c.Warm, Backlog: c.Backlog,
+		Expected: c.QueueDelay + c.ServiceTime, Elapsed: time.Since(s.start), Result: res.reason, Limit: res.limit,
 	})
-	return res
 }
 
 // writeResponse passes the response of a target or of another host on to the caller.
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -20,6 +20,7 @@
 	"gypsumbeam.example/gypsumbeam/pkg/balancer"
 	"gypsumbeam.example/gypsumbeam/pkg/collector"
 	"gypsumbeam.example/gypsumbeam/pkg/confirmer"
+	"gypsumbeam.example/gypsumbeam/pkg/hedger"
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
 	"gypsumbeam.example/gypsumbeam/pkg/isolator"
 	"gypsumbeam.example/gypsumbeam/pkg/lister"
@@ -73,6 +74,9 @@
 	RevocationTime, GracePeriod time.Duration
 	// RetryRatio is the share of a service's requests that may be retried.
 	RetryRatio float64
+	// HedgeShare is the share of a service's requests that may be sent a second time while
+	// they are in progress; 0 means none.
+	HedgeShare float64
 	// In any period of length RateWindow, a workspace may exceed its limit by the
 	// fraction RateExcess of it plus RateSlack requests.
 	RateWindow            time.Duration
@@ -121,6 +125,7 @@
 	lister      *lister.Lister
 	throttler   throttler.Throttler
 	budget      retrier.Budget
+	hedger      hedger.Hedger
 	isolator    isolator.Isolator
 	sender      *targets.Sender
 	relayer     *relayer
@@ -152,6 +157,7 @@
 	h.throttler.Tolerance = func(w *router.Workspace) float64 { return h.bounds.Load().rateAllowance(w) }
 	h.isolator.Self, h.isolator.Hosts = cfg.Self.Instance, h.instances
 	h.budget.MaxCredit = func() float64 { return maxSavedRetries * h.hostShare() }
+	h.hedger.Share = func() float64 { return h.bounds.Load().HedgeShare }
 	h.sender = targets.NewSender(targets.SenderConfig{
 		Dial: cfg.Dial, ConnectTimeout: targetConnectTimeout, IdleTimeout: targetIdleTimeout, MaxConnsPerTarget: maxConnsPerTarget, OmitTimeout: true,
 		OnConnect: h.recordConnect, OnConnectError: h.recordConnectError,
@@ -164,7 +170,7 @@
 	h.watchdog.OnChange = func(cutOff bool) { h.log.WithField("cutOff", cutOff).Warn("links to targets changed") }
 	h.handler = gateway.New(gateway.Config{
 		HeaderCodec: cfg.HeaderCodec, RouterSource: h, Confirmer: cfg.Confirmer, Balancer: h.balancer, RateLimiter: &h.throttler,
-		Sender: h.sender, RetryBudget: &h.budget, Isolator: &h.isolator, Watchdog: &h.watchdog, Relayer: h.relayer, Recorder: h.recorder,
+		Sender: h.sender, RetryBudget: &h.budget, Hedger: &h.hedger, Isolator: &h.isolator, Watchdog: &h.watchdog, Relayer: h.relayer, Recorder: h.recorder,
 		MaxConfirmationAge: h.MaxConfirmationAge, Outdated: cfg.State.Outdated, RetryRatio: func() float64 { return h.bounds.Load().RetryRatio },
 	})
 	h.broadcaster = siblings.New(siblings.Config{
--- a/service/gatewayhost/recorder.go
+++ b/service/gatewayhost/recorder.go
@@ -78,6 +78,7 @@
 // count adds the request to the metrics, by workspace, route, region and status. One that
 // another host served is in that host's metrics.
 func (r *recorder) count(rec *gateway.Record) {
+	r.countHedge(rec)
 	if n := len(rec.Attempts); n > 0 && rec.Attempts[n-1].Relay != "" {
 		r.metrics.Count("relayed", rec.Attempts[n-1].Result)
 		return
@@ -92,13 +93,35 @@
 	if rec.Reason != "" {
 		r.metrics.Count("refused", rec.Reason, "workspace", workspace)
 	}
-	if len(rec.Attempts) > 1 {
+	if sequentialAttempts(rec) > 1 {
 		r.metrics.Count("retries", orNone(string(rec.Service)))
 	}
 	r.metrics.Observe(rec.Elapsed, "latency", "route", route)
 	r.metrics.Observe(rec.Elapsed, "latency", "workspace", workspace)
 }
 
+// countHedge adds what became of a second send beside the first one to the metrics.
+func (r *recorder) countHedge(rec *gateway.Record) {
+	switch rec.Hedge {
+	case "":
+	case gateway.HedgeDenied:
+		r.metrics.Count("hedges", orNone(string(rec.Service)), rec.Hedge, rec.HedgeReason)
+	default:
+		r.metrics.Count("hedges", orNone(string(rec.Service)), rec.Hedge)
+	}
+}
+
+// sequentialAttempts returns the number of attempts without the hedges.
+func sequentialAttempts(rec *gateway.Record) int {
+	n := 0
+	for i := range rec.Attempts {
+		if !rec.Attempts[i].Hedge {
+			n++
+		}
+	}
+	return n
+}
+
 func orNone(name string) string {
 	if name == "" {
 		return none
@@ -106,7 +129,8 @@
 	return name
 }
 
-// formatAttempts formats the attempts of a request for the log, in order.
+// formatAttempts formats the attempts of a request for the log, in the order in which they
+// ended.
 func formatAttempts(rec *gateway.Record) string {
 	var b strings.Builder
 	for i, a := range rec.Attempts {
@@ -117,8 +141,12 @@
 			fmt.Fprintf(&b, "%s,took=%d,%s", a.Relay, a.Elapsed.Milliseconds(), a.Result)
 			continue
 		}
-		fmt.Fprintf(&b, "%s,%s,warm=%t,backlog=%.0f,expected=%d,took=%d,%s", a.Target, a.Zone, a.Warm,
-			a.Backlog, a.Expected.Milliseconds(), a.Elapsed.Milliseconds(), a.Result)
+		fmt.Fprintf(&b, "%s,%s,warm=%t,backlog=%.0f,expected=%d,took=%d,", a.Target, a.Zone, a.Warm,
+			a.Backlog, a.Expected.Milliseconds(), a.Elapsed.Milliseconds())
+		if a.Hedge {
+			b.WriteString("hedge=true,")
+		}
+		b.WriteString(a.Result)
 	}
 	return b.String()
 }
