--- a/service/gateway/handler.go
+++ b/service/gateway/handler.go
@@ -29,7 +29,7 @@
 	retryAfterNotReady = 300 * time.Millisecond
 )
 
-// Config holds the dependencies of a Handler. All fields except Recorder and Memory are
+// Config holds the dependencies of a Handler. All fields except Hedger, Memory and Recorder are
 // required.
 type Config struct {
 	HeaderCodec  HeaderCodec
@@ -39,6 +39,7 @@
 	RateLimiter  RateLimiter
 	Sender       Sender
 	RetryBudget  RetryBudget
+	Hedger       Hedger
 	Isolator     Isolator
 	Watchdog     Watchdog
 	Relayer      Relayer
