pkg/hedger: a request is slow in proportion to the time that was expected

With absolute times, requests for cold objects set the delay, and the slowest requests for warm ones were hedged too late.

--- a/pkg/balancer/candidates.go
+++ b/pkg/balancer/candidates.go
@@ -135,15 +135,33 @@
 func (s *search) considerCandidate(c placer.Candidate, region ids.Region) bool {
 	t := s.pool.targets[c.Index]
 	penalty := time.Duration(c.Order) * orderPenalty
-	if c.Order >= s.pool.copies(region) && s.pool.rankOf(t) < 0 {
+	holds, fits := s.pool.rankOf(t) >= 0, c.Order < s.pool.copies(region)
+	if !holds && !fits {
 		penalty += time.Duration(s.times.warmSaving())
 	}
 	if t.Zone == s.balancer.cfg.Zone {
 		penalty -= time.Duration(s.times.warmSaving() * ownZoneFraction)
+		if !holds && fits && s.inTimeWithoutObject() {
+			penalty -= s.costWithoutObject()
+		}
 	}
 	return s.consider(t, penalty)
 }
 
+// inTimeWithoutObject reports whether a request that runs at a target without the object is
+// expected to meet its objective nevertheless. Then the object can as well get a copy in this
+// host's zone, from which all later requests are served there.
+func (s *search) inTimeWithoutObject() bool {
+	return s.times.measured && s.pool.pressure < maxPressureWithRoom &&
+		float64(s.times.cold) <= checkFraction*float64(s.request.Objective)
+}
+
+// costWithoutObject is by how much the score of a target is higher as it does not have the
+// object.
+func (s *search) costWithoutObject() time.Duration {
+	return time.Duration(float64(s.times.cold-s.times.warm) * (1 + s.pool.pressure*pressureFactor))
+}
+
 const (
 	// copyFraction is the part of what targets keep warm that the copies of objects take.
 	copyFraction = 0.75
--- a/pkg/hedger/hedger.go
+++ b/pkg/hedger/hedger.go
@@ -69,21 +69,23 @@
 	return true
 }
 
-// Observe records the response time of a request of the class, or how long it was waited
-// for, if it was given up because it took too long.
-func (h *Hedger) Observe(class string, elapsed time.Duration) {
+// Observe records the response time of a request of the class that was expected to take
+// expected, or how long it was waited for, if it was given up because it took too long.
+func (h *Hedger) Observe(class string, elapsed, expected time.Duration) {
 	if h.share() <= 0 {
 		return
 	}
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.class(class, now).add(elapsed, now)
+	h.class(class, now).add(scale(elapsed, unit, expected), now)
 }
 
-// Delay returns how long to wait for the first target, or false if that is not known yet.
-// At most the share of the class's recent requests took longer, and at most 5% of them.
-func (h *Hedger) Delay(class string) (time.Duration, bool) {
+// Delay returns how long to wait for the first target, which is expected to take expected, or
+// false if that is not known yet. In proportion to what was expected, at most the share of the
+// class's recent requests took longer, and at most 5% of them. A request that is known to take
+// long, as its object is cold, is not slow.
+func (h *Hedger) Delay(class string, expected time.Duration) (time.Duration, bool) {
 	share := h.share()
 	if share <= 0 {
 		return 0, false
@@ -99,7 +101,18 @@
 	if times.total < minObservations {
 		return 0, false
 	}
-	return max(times.percentile(max(minPercentile, 1-share)), minDelay), true
+	return max(scale(times.percentile(max(minPercentile, 1-share)), expected, unit), minDelay), true
+}
+
+// unit is the response time that is recorded for a request that took as long as expected.
+const unit = time.Second
+
+// scale returns d times the ratio of two durations. The ratio is 1 if one of them is not known.
+func scale(d, numerator, denominator time.Duration) time.Duration {
+	if numerator <= 0 || denominator <= 0 {
+		return d
+	}
+	return time.Duration(float64(d) * float64(numerator) / float64(denominator))
 }
 
 func (h *Hedger) share() float64 {
--- a/service/gateway/hedge.go
+++ b/service/gateway/hedge.go
@@ -65,7 +65,7 @@
 		q.add(p, q.attempt(ctx, c))
 		return avoid
 	}
-	if delay, ok := hedger.Delay(q.route.Name); ok {
+	if delay, ok := hedger.Delay(q.route.Name, expectedTime(c)); ok {
 		return q.sendHedged(ctx, p, c, delay, avoid)
 	}
 	if s, ok := q.begin(ctx, c); ok {
@@ -168,7 +168,7 @@
 // them.
 func (q *request) observeTime(s *send, res *result) {
 	if !s.hedge && (res.isAnswer() || res.reason == reasonOvertaken || res.reason == "timeout") {
-		q.h.cfg.Hedger.Observe(q.route.Name, time.Since(s.start))
+		q.h.cfg.Hedger.Observe(q.route.Name, time.Since(s.start), expectedTime(s.choice))
 	}
 }
 
@@ -219,7 +219,10 @@
 	return !q.hasBody() || q.body.Whole()
 }
 
+// expectedTime returns the time in which a send to a target is expected to end.
+func expectedTime(c *balancer.Choice) time.Duration { return c.QueueDelay + c.ServiceTime }
+
 // endsLate reports whether a send to a target is not expected to end before the deadline.
 func (q *request) endsLate(c *balancer.Choice) bool {
-	return c.QueueDelay+c.ServiceTime >= q.record.Timeout-time.Since(q.start)
+	return expectedTime(c) >= q.record.Timeout-time.Since(q.start)
 }
--- a/service/gateway/ports.go
+++ b/service/gateway/ports.go
@@ -169,10 +169,10 @@
 	// RecordRequest counts the first send of a request.
 	RecordRequest(service ids.Service)
 	// Observe records the response time of a request of the class.
-	Observe(class string, elapsed time.Duration)
+	Observe(class string, elapsed, expected time.Duration)
 	// Delay returns how long to wait for the first target, or false if the request is not
 	// to be sent to a second one.
-	Delay(class string) (time.Duration, bool)
+	Delay(class string, expected time.Duration) (time.Duration, bool)
 	// Allow reports whether one more hedge is within the share, and counts it.
 	Allow(service ids.Service) bool
 }
