--- a/service/gateway/health.go
+++ b/service/gateway/health.go
@@ -28,6 +28,7 @@
 		if !ok {
 			return
 		}
+		q.record.HealthChecks++
 		report, ok := q.h.health(ctx, q.router, q.service, c)
 		if !ok {
 			return
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -151,7 +151,7 @@
 	h := &Host{cfg: cfg, log: logflags.Logger(logflags.EntryHost), lister: &lister.Lister{}, memory: reserver.New(cfg.BufferBytes)}
 	h.bounds.Store(&cfg.Bounds)
 	h.recorder = newRecorder(&h.metrics)
-	h.loads.log = h.log
+	h.loads.log, h.loads.metrics = h.log, &h.metrics
 	h.balancer = balancer.New(balancer.Config{
 		Zone: cfg.Self.Zone, Regions: cfg.Regions, OnLimitHeard: h.recorder.limits.heard,
 		OnLimitedPick: func(s ids.Service) { h.throttler.CountDemand(throttler.HashService(s)) },
--- a/service/gatewayhost/recorder.go
+++ b/service/gatewayhost/recorder.go
@@ -88,10 +88,14 @@
 		region = string(rec.Attempts[n-1].Region)
 		r.metrics.Observe(rec.Attempts[n-1].Elapsed, "attempt", "service", orNone(string(rec.Service)))
 	}
+	for range rec.HealthChecks {
+		r.metrics.Count("healthChecks", orNone(string(rec.Service)))
+	}
 	r.metrics.Count("requests", "status", strconv.Itoa(rec.Status))
 	r.metrics.Count("requests", "workspace", workspace, "region", region, "status", strconv.Itoa(rec.Status))
 	if rec.Reason != "" {
 		r.metrics.Count("refused", rec.Reason, "workspace", workspace)
+		r.metrics.Count("refused", rec.Reason, "route", route)
 	}
 	if sequentialAttempts(rec) > 1 {
 		r.metrics.Count("retries", orNone(string(rec.Service)))
