--- a/service/gateway/ports.go
+++ b/service/gateway/ports.go
@@ -257,6 +257,8 @@
 	Elapsed    time.Duration
 	// Attempts lists the attempts in the order in which they ended.
 	Attempts []Attempt
+	// HealthChecks is the number of targets whose health was checked before an attempt.
+	HealthChecks int
 	// Hedge tells what became of a second send while the first one was in progress:
 	// HedgeWon, HedgeLost, HedgeDenied with the reason HedgeReason, or empty if there was no
 	// need of one or it was out of question.
