gypsumctl explain: where a gateway host would send a request now, and why

Balancer.Explain runs the search, the scores and the admission of Pick on a copy of the service's pool. GET /explain beside the metrics adds the steps before it. Nothing is sent or counted. TestPlacesThatRefuse lists one more function, which names statuses for operators only.

--- a/cmd/gypsumctl/cmds/args.go
+++ b/cmd/gypsumctl/cmds/args.go
@@ -2,13 +2,15 @@
 package cmds
 
 import (
+	"time"
+
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
 	"gypsumbeam.example/gypsumbeam/pkg/version"
 )
 
 // arguments holds the command line arguments.
 type arguments struct {
-	Hosts  []string `arg:"--host,separate" placeholder:"ADDRESS" help:"operators' address of an entry host; may be repeated, and the first that answers is used [env: GYPSUM_HOST, a list with commas]"`
+	Hosts  []string `arg:"--host,separate" placeholder:"ADDRESS" help:"operators' address of an entry host; may be repeated, and the first that answers is used [env: GYPSUM_HOST, a list with commas]; for explain, the metrics address of a gateway host"`
 	Output string   `arg:"--output" default:"text" placeholder:"FORMAT" help:"text or json"`
 
 	Check     *fileArguments     `arg:"subcommand:check" help:"check a document and tell all its faults"`
@@ -23,6 +25,7 @@
 	Seat      *seatCommands      `arg:"subcommand:seat" help:"free the seats of a host that is lost for good"`
 	Status    *noArguments       `arg:"subcommand:status" help:"tell the state of every host"`
 	Report    *noArguments       `arg:"subcommand:report" help:"tell whose traffic went where"`
+	Explain   *explainArguments  `arg:"subcommand:explain" help:"tell where a gateway host would send a request now, and why"`
 }
 
 // Version returns the line that --version prints.
@@ -54,6 +57,16 @@
 	Base ids.Revision `arg:"--base,required" placeholder:"REVISION" help:"the revision that the document was made against; 0 for the first"`
 }
 
+type explainArguments struct {
+	Name      string        `arg:"--name,required" placeholder:"HOSTNAME" help:"the host name that the caller asks for; --host is the metrics address of the gateway host"`
+	Path      string        `arg:"--path,required" help:"the path, with the query if there is one"`
+	Method    string        `arg:"--method" default:"GET"`
+	Object    string        `arg:"--object" placeholder:"KEY" help:"the object that the request is about"`
+	Workspace ids.Workspace `arg:"--workspace" placeholder:"NAME" help:"the workspace whose key the request has"`
+	Timeout   time.Duration `arg:"--timeout" placeholder:"DURATION" help:"how long the caller waits, such as 2s; without it, as for a caller that does not tell"`
+	JSON      bool          `arg:"--json" help:"print the host's JSON, as with --output json"`
+}
+
 type presetArguments struct {
 	List *noArguments `arg:"subcommand:list" help:"list the presets"`
 	Use  *presetUse   `arg:"subcommand:use" help:"put a preset in force"`
--- a/cmd/gypsumctl/cmds/run.go
+++ b/cmd/gypsumctl/cmds/run.go
@@ -92,7 +92,10 @@
 	case err != nil:
 		return printUsage(p, stderr, err)
 	}
-	if len(s.args.Hosts) == 0 {
+	if a := s.args.Explain; a != nil && a.JSON {
+		s.args.Output = formatJSON
+	}
+	if len(s.args.Hosts) == 0 && s.args.Explain == nil { // the variable names other addresses
 		s.args.Hosts = splitHosts(os.Getenv(envHost))
 	}
 	s.client = &operators.Client{Hosts: s.args.Hosts}
@@ -133,6 +136,9 @@
 	if s.args.Check != nil {
 		return s.check(s.args.Check.File)
 	}
+	if s.args.Explain != nil {
+		return s.explain(ctx)
+	}
 	command := s.command()
 	if command == nil {
 		return &errUsage{"a command is needed"}
@@ -144,7 +150,7 @@
 }
 
 // command returns the function of the command in the arguments, or nil if the
-// command is missing or incomplete. It does not handle check, which needs no host.
+// command is missing or incomplete. It does not handle check and explain, which use no operators' address.
 func (s *invocation) command() func(ctx context.Context) error {
 	a := &s.args
 	switch {
--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -7,6 +7,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -46,6 +47,13 @@
 	lastRetryAt time.Time
 }
 
+// Clone returns a copy that changes independently.
+func (a *Admitter) Clone() Admitter {
+	c := *a
+	c.classes = slices.Clone(a.classes)
+	return c
+}
+
 // Admit reports whether the request may be sent. pressure is the ratio of requests, including
 // queued ones, to slots of the service. A request that would exceed its remaining time is never
 // admitted. All others are admitted below a pressure of 1, as every limit is above that.
--- a/pkg/balancer/admit.go
+++ b/pkg/balancer/admit.go
@@ -12,24 +12,28 @@
 	r := admitter.Request{
 		Class: s.request.Class, Priority: s.request.Priority, Objective: s.request.Objective, TimeLeft: s.request.TimeLeft,
 	}
-	pressure := pl.pressure
 	if c := &s.best; c.target != nil {
 		r.Finish, r.Cold = c.QueueDelay+c.measuredServiceTime()+c.rtt, !c.Warm
 		if c.QueueDelay == 0 && r.TimeLeft > 0 {
 			r.Finish = min(r.Finish, r.TimeLeft) // the estimate may be wrong, and only requests correct it
 		}
-		if pl.hasCandidates() {
-			pressure = pl.survey.pressureIn(c.Region)
-		}
 	} else {
 		r.Finish = r.TimeLeft + 1 // no target can finish it in time
 	}
-	if pl.admitter.Admit(r, pressure, s.now) {
+	if pl.admitter.Admit(r, s.admissionPressure(), s.now) {
 		return nil
 	}
 	return &ErrBusy{RetryAfter: pl.admitter.RetryAfter(s.freed(), s.request.TimeLeft, s.now)}
 }
 
+// admissionPressure returns the pressure that decides whether the request is admitted.
+func (s *search) admissionPressure() float64 {
+	if s.best.target != nil && s.pool.hasCandidates() {
+		return s.pool.survey.pressureIn(s.best.Region)
+	}
+	return s.pool.pressure
+}
+
 // freed returns how many requests a second this host's part of the slots can end.
 func (s *search) freed() float64 {
 	slots := 0.0
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -65,7 +65,12 @@
 
 // pool holds the targets of one service.
 type pool struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	poolState
+}
+
+// poolState is the state of a pool, guarded by its lock.
+type poolState struct {
 	targets []*target
 	byHash  map[uint32]*target
 	// unregistered holds the targets whose registrations ended recently.
@@ -144,10 +149,10 @@
 func (b *Balancer) pool(name ids.Service) *pool {
 	pl := b.services[name]
 	if pl == nil {
-		pl = &pool{
+		pl = &pool{poolState: poolState{
 			serviceTimes: make(map[string]*serviceTimes), holders: make(map[ObjectHash][]*target), warmCapacity: initialWarmCapacity,
 			remote: &b.remote, slowFactor: initialSlowFactor,
-		}
+		}}
 		b.services[name] = pl
 	}
 	return pl
--- a/pkg/balancer/candidates.go
+++ b/pkg/balancer/candidates.go
@@ -61,6 +61,7 @@
 	groups := s.pool.candidates(&s.balancer.cfg, object)
 	own := s.balancer.cfg.Regions[s.balancer.cfg.Zone]
 	region := s.pool.shifter.Region(own, uint32(object))
+	s.region = region
 	s.scanGroups(groups, func(r ids.Region) bool { return r == region })
 	s.scanHolders(region)
 	if s.full() {
--- a/pkg/balancer/health.go
+++ b/pkg/balancer/health.go
@@ -29,9 +29,13 @@
 	if pl == nil {
 		return Candidate{}, false
 	}
-	now := time.Now()
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
+	return b.checkFirst(pl, r, evacuated, time.Now())
+}
+
+// checkFirst implements CheckFirst. The caller holds the lock.
+func (b *Balancer) checkFirst(pl *pool, r Request, evacuated map[ids.Zone]bool, now time.Time) (Candidate, bool) {
 	if !pl.reportsSlowdown {
 		return Candidate{}, false
 	}
--- a/pkg/balancer/pick.go
+++ b/pkg/balancer/pick.go
@@ -108,21 +108,31 @@
 
 // find scores the targets that may get the request. The caller holds the lock.
 func (b *Balancer) find(pl *pool, r Request, evacuated map[ids.Zone]bool, now time.Time) *search {
+	s := b.newSearch(pl, r, evacuated, now)
+	s.scan()
+	return s
+}
+
+// newSearch returns a search that has not considered any target. The caller holds the lock.
+func (b *Balancer) newSearch(pl *pool, r Request, evacuated map[ids.Zone]bool, now time.Time) *search {
 	pl.rankHolders(r.Object)
-	s := &search{
+	return &search{
 		balancer: b, pool: pl, request: r, evacuated: evacuated, now: now,
 		times: pl.serviceTimesOf(r), shares: b.shares(pl),
 	}
-	if pl.hasCandidates() {
-		b.refreshSurvey(pl, evacuated, now)
+}
+
+// scan considers the targets that may get the request.
+func (s *search) scan() {
+	if s.pool.hasCandidates() {
+		s.balancer.refreshSurvey(s.pool, s.evacuated, s.now)
 		s.scanCandidates()
-		return s
+		return
 	}
 	s.scanAll()
-	if !r.regionRestricted() {
-		pl.pressure = s.pressure()
+	if !s.request.regionRestricted() {
+		s.pool.pressure = s.pressure()
 	}
-	return s
 }
 
 // expireRemote drops the in-flight counts of hosts that have gone silent.
@@ -161,10 +171,18 @@
 	backlog, slots float64
 	// limited are the targets that would be eligible if this host had a permit.
 	limited []*target
+
+	// region is the region that the object has now, where objects have candidates, and
+	// scannedAll is set once all targets were considered.
+	region     ids.Region
+	scannedAll bool
+	// onScore, if set, is called with each target that is scored.
+	onScore func(c Choice, score time.Duration)
 }
 
 // scanAll considers all targets.
 func (s *search) scanAll() {
+	s.scannedAll = true
 	for _, t := range s.pool.targets {
 		s.consider(t, 0)
 	}
@@ -177,7 +195,7 @@
 		return false
 	}
 	t.consideredIn = s.pool.choiceCount
-	if s.evacuated[t.Zone] || !t.eligible(s.request, s.now) {
+	if s.exclusion(t) != "" {
 		return false
 	}
 	if !t.hasPermit(s.pool.coldRate, s.shares, s.now) {
@@ -185,10 +203,21 @@
 		return false
 	}
 	c, score := s.balancer.score(s.pool, t, s.times, s.request, s.now)
+	if s.onScore != nil {
+		s.onScore(c, score+penalty)
+	}
 	s.add(c, score+penalty)
 	return true
 }
 
+// exclusion returns the reason why t may not get the request, empty if it may.
+func (s *search) exclusion(t *target) string {
+	if s.evacuated[t.Zone] {
+		return "evacuated"
+	}
+	return t.exclusion(&s.request, s.now)
+}
+
 // add considers one eligible target.
 func (s *search) add(c Choice, score time.Duration) {
 	if s.eligible == 0 || c.QueueDelay < s.minQueueDelay {
@@ -225,18 +254,29 @@
 	}
 }
 
-// eligible reports whether t may get the request. The caller holds the lock.
-func (t *target) eligible(r Request, now time.Time) bool {
+// exclusion returns the reason why t may not get the request, empty if it may. The caller
+// holds the lock.
+func (t *target) exclusion(r *Request, now time.Time) string {
 	switch {
-	case !t.unregisteredAt.IsZero(), t.Draining, t.leaving, now.Before(t.ejectedUntil), now.Before(t.pausedUntil), slices.Contains(r.Avoid, t.ID):
-		return false
+	case !t.unregisteredAt.IsZero():
+		return "unregistered"
+	case t.Draining:
+		return "draining"
+	case t.leaving:
+		return "leaving"
+	case now.Before(t.ejectedUntil):
+		return "ejected"
+	case now.Before(t.pausedUntil):
+		return "paused"
+	case slices.Contains(r.Avoid, t.ID):
+		return "tried"
 	}
 	for _, regions := range r.HomeRegions {
 		if len(regions) > 0 && !slices.Contains(regions, t.region) {
-			return false
+			return "otherHomeRegion"
 		}
 	}
-	return true
+	return ""
 }
 
 // start counts the request as in flight at the chosen target. The caller holds the
--- a/pkg/balancer/remote.go
+++ b/pkg/balancer/remote.go
@@ -100,6 +100,24 @@
 	return changed
 }
 
+// expired returns the in-flight counts that expire would drop, and the age of the oldest report
+// that it would keep.
+func (rc *remoteCounts) expired(now time.Time) (counts map[uint32]int, oldest time.Duration) {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	counts = make(map[uint32]int)
+	for _, c := range rc.groups {
+		if age := now.Sub(c.receivedAt); age < remoteCountTimeout {
+			oldest = max(oldest, age)
+			continue
+		}
+		for hash, n := range c.counts {
+			counts[hash] += n
+		}
+	}
+	return counts, oldest
+}
+
 // total returns the total of a target.
 func (rc *remoteCounts) total(hash uint32) int {
 	rc.mu.Lock()
--- a/pkg/balancer/survey.go
+++ b/pkg/balancer/survey.go
@@ -57,7 +57,7 @@
 	s.at, s.loads, s.minQueueDelay = now, s.loads[:0], 0
 	first := true
 	for _, t := range pl.targets {
-		if evacuated[t.Zone] || !t.eligible(Request{}, now) {
+		if evacuated[t.Zone] || t.exclusion(&Request{}, now) != "" {
 			continue
 		}
 		backlog, slots := t.backlog(now), t.effectiveSlots(now)
--- a/pkg/shifter/shifter.go
+++ b/pkg/shifter/shifter.go
@@ -63,6 +63,13 @@
 	part   float64
 }
 
+// Clone returns a copy that changes independently.
+func (s *Shifter) Clone() Shifter {
+	c := *s
+	c.others = slices.Clone(s.others)
+	return c
+}
+
 // Own returns the part of the requests that stay in this host's own region.
 func (s *Shifter) Own() float64 {
 	own := 1.0
--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -225,6 +225,12 @@
 		b = newBucket(l, now)
 		t.buckets[hash] = b
 	}
+	b.refill(l, now)
+	return b
+}
+
+// refill brings the bucket up to now. The caller holds the lock.
+func (b *bucket) refill(l localLimit, now time.Time) {
 	if b.unsynced && !l.isolated {
 		b.unsynced = false
 		b.tokens = max(b.tokens, l.startTokens)
@@ -234,7 +240,6 @@
 	b.tokens = min(l.burst, b.tokens+l.rate*elapsed)
 	shareRate := l.rate * b.demandShare()
 	b.allowance = min(b.allowance+shareRate*elapsed, max(shareRate*allowanceWindow.Seconds(), 1))
-	return b
 }
 
 // newBucket returns the bucket of a host that does not know earlier usage. All hosts
@@ -282,8 +287,7 @@
 	l := t.localLimit(w, now)
 	b := t.bucket(HashWorkspace(w.Name), l, now)
 	b.demand.add(now)
-	scarce := b.tokens < l.burst*t.scarcityLevel()
-	if b.tokens >= 1 && (!scarce || b.allowance >= 1) {
+	if t.hasToken(b, l) {
 		b.tokens--
 		b.allowance = max(b.allowance-1, 0)
 		b.admitted++
@@ -292,6 +296,30 @@
 	return b.nextRetryAfter(l, now), false
 }
 
+// WouldAdmit reports whether Admit would admit a request of w now, and counts nothing. known is
+// false if this host has no bucket of the workspace yet.
+func (t *Throttler) WouldAdmit(w *router.Workspace) (admits, known bool) {
+	if w.Rate <= 0 {
+		return true, true
+	}
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.buckets[HashWorkspace(w.Name)]
+	if b == nil {
+		return false, false
+	}
+	l, refilled := t.localLimit(w, now), *b
+	refilled.refill(l, now)
+	return t.hasToken(&refilled, l), true
+}
+
+// hasToken reports whether a refilled bucket allows one more request. The caller holds the lock.
+func (t *Throttler) hasToken(b *bucket, l localLimit) bool {
+	scarce := b.tokens < l.burst*t.scarcityLevel()
+	return b.tokens >= 1 && (!scarce || b.allowance >= 1)
+}
+
 // nextRetryAfter returns a retry delay of its own for each rejected caller, spaced at
 // this host's share of the rate. The caller holds the lock.
 func (b *bucket) nextRetryAfter(l localLimit, now time.Time) time.Duration {
--- a/pkg/throttler/throttler_test.go
+++ b/pkg/throttler/throttler_test.go
@@ -185,6 +185,29 @@
 	})
 }
 
+// Guards against an answer that differs from what Admit does next, or that uses up tokens.
+func TestWouldAdmitTellsWhatAdmitDoesAndCountsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rnd := seeds.NewRand(t)
+		var asked, other throttler.Throttler
+		w := &router.Workspace{Name: "school", Rate: 10, Burst: 10}
+		_, known := asked.WouldAdmit(w)
+		is.True(!known)
+		asked.Prepare(w)
+		other.Prepare(w)
+		for range 2000 {
+			time.Sleep(time.Duration(rnd.IntN(150)) * time.Millisecond)
+			admits, known := asked.WouldAdmit(w)
+			is.True(known)
+			_, ok := asked.Admit(w)
+			_, otherOK := other.Admit(w)
+			is.Equal(admits, ok)
+			is.Equal(otherOK, ok)
+		}
+	})
+}
+
 // Rejected callers get different retry times, so that they do not retry all at once.
 func TestRejectedCallersGetDistinctRetryTimes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/service/gateway/gateway_test.go
+++ b/service/gateway/gateway_test.go
@@ -145,6 +145,9 @@
 func (env *environment) Admit(*router.Workspace) (time.Duration, bool) {
 	return 250 * time.Millisecond, !env.overRate
 }
+func (env *environment) WouldAdmit(*router.Workspace) (admits, known bool) {
+	return !env.overRate, true
+}
 
 // maxConfirmationAge is the maximum age of a confirmation.
 const maxConfirmationAge = 4 * time.Second
--- a/service/gateway/handler.go
+++ b/service/gateway/handler.go
@@ -125,7 +125,11 @@
 	}
 	q.evidence = h.attestor.Open(attestor.NewKey(q.info.ID, q.r.Method, q.r.RequestURI, q.info.Key))
 	defer q.evidence.End()
-	if rej := q.prepare(); rej != nil {
+	rej := q.prepare()
+	if rej == nil {
+		rej = q.assign()
+	}
+	if rej != nil {
 		q.reject(rej)
 		return
 	}
@@ -163,6 +167,9 @@
 // reasonLinkLost is the reason of an attempt that ended as the host was found to be cut off.
 const reasonLinkLost = "linkLost"
 
+// reasonOverRate is the reason of requests beyond the rate limit of their workspace.
+const reasonOverRate = "overRate"
+
 // reasonCopy is the reason of a request of which a copy is in progress or may have run.
 const reasonCopy = "copy"
 
@@ -187,8 +194,8 @@
 	}
 }
 
-// prepare matches and authenticates the request. It returns a rejection if the request may
-// not run.
+// prepare finds the route of the request. It returns a rejection if there is none, or if this
+// host cannot rely on what it knows.
 func (q *request) prepare() *rejection {
 	if q.h.rejecting.Load() {
 		return &rejection{http.StatusServiceUnavailable, reasonLeaving, retryAfterNotReady}
@@ -210,6 +217,12 @@
 		return &rejection{status: http.StatusNotFound, reason: "noRoute"}
 	}
 	q.record.Route = q.route.Name
+	return nil
+}
+
+// assign authenticates the request and sets its service, time and body. It returns a rejection
+// if the request may not run.
+func (q *request) assign() *rejection {
 	if rej := q.authenticate(); rej != nil {
 		return rej
 	}
@@ -293,7 +306,7 @@
 	}
 	wait, ok := q.h.cfg.RateLimiter.Admit(q.ws)
 	if !ok {
-		return &rejection{http.StatusTooManyRequests, "overRate", wait}
+		return &rejection{http.StatusTooManyRequests, reasonOverRate, wait}
 	}
 	return nil
 }
--- a/service/gateway/ports.go
+++ b/service/gateway/ports.go
@@ -109,6 +109,8 @@
 	// CheckFirst returns the target whose health is to be checked before Pick is called, as
 	// its state decides which target is best. It returns false if there is none.
 	CheckFirst(req balancer.Request) (balancer.Candidate, bool)
+	// Explain tells what Pick would do with a request now, and changes nothing.
+	Explain(req balancer.Request) balancer.Explanation
 	// ObserveHealth takes in what a target responded to a health check.
 	ObserveHealth(id ids.Target, report balancer.LoadReport)
 }
@@ -118,6 +120,9 @@
 	// Admit counts one request of the workspace. If the workspace is over its limit, ok
 	// is false and wait is the time until its next request can be admitted.
 	Admit(ws *router.Workspace) (wait time.Duration, ok bool)
+	// WouldAdmit reports whether Admit would admit a request now, and counts nothing. known is
+	// false if that cannot be told.
+	WouldAdmit(ws *router.Workspace) (admits, known bool)
 }
 
 // Sender sends requests to targets.
--- a/service/gateway/refusal_test.go
+++ b/service/gateway/refusal_test.go
@@ -201,6 +201,7 @@
 	"pkg/attestor PromisesNotRun":      "decides on all responses of this package",
 	"service/gateway prepare":          "nothing is sent yet; attestor",
 	"service/gateway admit":            "nothing is sent yet; attestor",
+	"service/gateway explain":          "tells an operator: no request of a caller",
 	"service/gateway reserveBody":      "nothing is sent yet; attestor",
 	"service/gateway isOfHost":         "reads the status that attestor left",
 	"service/gateway giveUp":           "attestor",
--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -82,12 +82,7 @@
 // relay passes the request on to one host after another until one of them responds, or
 // another send is not safe.
 func (q *request) relay(ctx context.Context, p progress) {
-	homes := [][]ids.Region{q.route.HomeRegions}
-	if q.ws != nil {
-		homes = append(homes, q.ws.HomeRegions)
-	}
-	hosts := q.h.cfg.Relayer.Hosts(homes)
-	for n, address := range hosts[:min(len(hosts), maxRelays)] {
+	for n, address := range q.relayHosts() {
 		if p.sends >= q.maxSends || (n > 0 && !q.body.Replayable()) {
 			break
 		}
@@ -106,6 +101,16 @@
 	}
 }
 
+// relayHosts returns the hosts that the request may be passed on to, the first one first.
+func (q *request) relayHosts() []string {
+	homes := [][]ids.Region{q.route.HomeRegions}
+	if q.ws != nil {
+		homes = append(homes, q.ws.HomeRegions)
+	}
+	hosts := q.h.cfg.Relayer.Hosts(homes)
+	return hosts[:min(len(hosts), maxRelays)]
+}
+
 // relayTo passes the request on to one host, which may send it to a number of targets.
 func (q *request) relayTo(ctx context.Context, address string, sends int) *result {
 	start := time.Now()
--- a/service/operators/client.go
+++ b/service/operators/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -96,6 +97,19 @@
 	return list, err
 }
 
+// Explanation returns the JSON with which the first responding gateway host explains where it
+// would send a request. Hosts must be metrics addresses. Its error is a *Problem or an
+// *ErrUnreachable.
+func (c *Client) Explanation(ctx context.Context, query url.Values) ([]byte, error) {
+	var body []byte
+	err := c.tryHosts(ctx, func(ctx context.Context, host string) error {
+		var err error
+		_, body, err = c.get(ctx, host, "/explain?"+query.Encode())
+		return err
+	})
+	return body, err
+}
+
 // tryHosts calls try with each of c.Hosts in turn until one responds. A Problem is a
 // response.
 func (c *Client) tryHosts(ctx context.Context, try func(ctx context.Context, host string) error) error {
