--- a/pkg/hedger/histogram.go
+++ b/pkg/hedger/histogram.go
@@ -12,8 +12,8 @@
 	bucketCount = 128
 	// halfLife and maxNew are the time and the number of observations after which all
 	// earlier observations count half, whichever comes first.
-	halfLife = 30 * time.Second
-	maxNew   = 512
+	halfLife = 5 * time.Second
+	maxNew   = 128
 )
 
 // histogram counts durations in buckets. Earlier ones count less and less.
--- a/service/gateway/hedge.go
+++ b/service/gateway/hedge.go
@@ -37,6 +37,10 @@
 	deniedTarget = "noTarget"
 )
 
+// maxHedgeFactor is how much longer than the first send a hedge may be expected to take. A target
+// without the object seldom overtakes one that has it.
+const maxHedgeFactor = 2
+
 // reasonOvertaken is the reason of a send that was cancelled because another one was answered
 // first.
 const reasonOvertaken = "overtaken"
@@ -200,7 +204,7 @@
 	if err != nil {
 		return nil, deniedTarget
 	}
-	if q.endsLate(c) {
+	if q.endsLate(c) || expectedTime(c) > maxHedgeFactor*expectedTime(first) {
 		c.Done(balancer.Result{})
 		return nil, deniedTime
 	}
