--- a/pkg/admitter/class.go
+++ b/pkg/admitter/class.go
@@ -56,8 +56,8 @@
 	// cold and late requests, too.
 	limit     float64
 	wholeRoom bool
-	// alone is set if no class has another priority.
-	alone bool
+	// samePriority is set if no class has another priority.
+	samePriority bool
 }
 
 // limitFor returns the pressure up to which a request of the class is admitted. Without other
@@ -65,9 +65,9 @@
 // admitted, as rejecting it would help no other.
 func (c *class) limitFor(r *Request) float64 {
 	switch {
-	case c.alone && !r.late():
+	case c.samePriority && r.Objective > 0 && !r.late():
 		return math.Inf(1)
-	case c.alone && !r.Cold:
+	case c.samePriority && !r.Cold:
 		return topLimit
 	}
 	if !c.wholeRoom && (r.Cold || r.late()) {
@@ -124,13 +124,13 @@
 // judge sets the limits of all classes.
 func (a *Admitter) judge(now time.Time) {
 	overall, limit := a.overallFraction(), topLimit
-	alone := len(a.classes) > 0 && a.classes[0].priority == a.classes[len(a.classes)-1].priority
+	samePriority := len(a.classes) > 0 && a.classes[0].priority == a.classes[len(a.classes)-1].priority
 	for i := range a.classes {
 		c := &a.classes[i]
 		if i > 0 && c.priority > a.classes[i-1].priority {
 			limit = max(limit-limitStep, minLimit)
 		}
-		c.limit, c.wholeRoom, c.alone = limit, false, alone
+		c.limit, c.wholeRoom, c.samePriority = limit, false, samePriority
 		a.adjust(c, overall, now)
 	}
 }
@@ -143,12 +143,13 @@
 		// It starves. Whole room is needed where others fill the service with warm requests.
 		c.limit, c.wholeRoom = topLimit, true
 	case urgent < unhinderedFraction && c.servedMoreThan(maxLessUrgent*urgent):
-		// A more urgent class does without, perhaps as its deadlines are too short for the queue.
+		// A more urgent class is rejected, perhaps because its deadlines are too short for the queue.
 		c.limit = minLimit
 	case c.served() < unhinderedFraction && a.overtakes(c, now):
 		// A less urgent class gets too much, for instance as it has fewer cold requests.
 		c.limit, c.wholeRoom = topLimit, true
 	case c.servedLessThan(starvingFraction) && urgent >= unhinderedFraction:
+		// It starves although all more urgent requests are admitted.
 		c.limit = topLimit
 	}
 }
--- a/pkg/balancer/admit.go
+++ b/pkg/balancer/admit.go
@@ -18,7 +18,7 @@
 			r.Finish = min(r.Finish, r.TimeLeft) // the estimate may be wrong, and only requests correct it
 		}
 	} else {
-		r.Finish = r.TimeLeft + 1 // no target can finish it in time
+		r.Finish = max(s.earliest, r.TimeLeft+1) // no target can finish it in time
 	}
 	if pl.admitter.Admit(r, s.admissionPressure(), s.now) {
 		return nil
@@ -28,17 +28,21 @@
 
 // admissionPressure returns the pressure that decides whether the request is admitted.
 func (s *search) admissionPressure() float64 {
-	if s.best.target != nil && s.pool.hasCandidates() {
+	switch {
+	case !s.pool.hasCandidates():
+		return s.pressure()
+	case s.best.target != nil:
 		return s.pool.survey.pressureIn(s.best.Region)
+	default:
+		return s.pool.pressure
 	}
-	return s.pool.pressure
 }
 
 // freed returns how many requests a second this host's part of the slots can end.
 func (s *search) freed() float64 {
-	slots := 0.0
-	for _, t := range s.pool.targets {
-		slots += float64(t.Slots)
+	slots := s.slots
+	if s.pool.hasCandidates() {
+		slots = s.pool.survey.slots()
 	}
 	return slots * s.shares.cold.Fraction() / max(s.pool.meanServiceTime.Seconds(), minServiceSeconds)
 }
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -79,7 +79,10 @@
 	holders map[ObjectHash][]*target
 	// choiceCount is the number of choices made.
 	choiceCount uint64
-	remote      *remoteCounts
+	// picks is the number of calls of Pick. It varies the targets that are considered beyond
+	// candidates, and the candidates of requests without an object.
+	picks  uint64
+	remote *remoteCounts
 	// share is this host's share of the limits that the targets name, hasShare whether it
 	// was set, and limited whether any of them names one.
 	share             pacer.Share
@@ -99,7 +102,7 @@
 	// moving average of the slowdown of those that are slow.
 	reportsSlowdown bool
 	slowFactor      float64
-	// placer, survey, shifter and admitter serve a pool with few candidates for each object.
+	// admitter serves all pools; objects, placer, survey and shifter serve those with candidates.
 	objects  objectCounter
 	placer   *placer.Placer
 	survey   survey
--- a/pkg/balancer/candidates.go
+++ b/pkg/balancer/candidates.go
@@ -49,7 +49,7 @@
 // own one, or a different one for each choice if it has none. The caller holds the lock.
 func (pl *pool) orAnonymous(o ObjectHash) ObjectHash {
 	if o == NoObject {
-		return ObjectHash(pl.choiceCount % anonymousObjects)
+		return ObjectHash(pl.picks % anonymousObjects)
 	}
 	return o
 }
@@ -88,7 +88,7 @@
 func (s *search) scanSample(region ids.Region) {
 	n := len(s.pool.targets)
 	stride := max(n/sampleSize, 1)
-	first := int(s.pool.choiceCount % uint64(stride))
+	first := int(s.pool.picks % uint64(stride))
 	for i := first; i < n; i += stride {
 		if t := s.pool.targets[i]; t.region == region {
 			s.consider(t, holderPenalty)
--- a/pkg/balancer/health.go
+++ b/pkg/balancer/health.go
@@ -14,8 +14,8 @@
 // service times vary.
 const checkFraction = 0.8
 
-// Candidate is a target that a request may be sent to.
-type Candidate struct {
+// HealthCheck names a target whose health is to be checked.
+type HealthCheck struct {
 	Target  ids.Target
 	Address string
 }
@@ -24,10 +24,10 @@
 // is called: its last report is old, and if it is slow now, the request would miss its
 // objective there, but perhaps not at another target that has the object. It returns false if
 // no check is worthwhile.
-func (b *Balancer) CheckFirst(r Request) (Candidate, bool) {
+func (b *Balancer) CheckFirst(r Request) (HealthCheck, bool) {
 	pl, evacuated := b.poolOf(r.Service)
-	if pl == nil {
-		return Candidate{}, false
+	if pl == nil || r.Object == NoObject { // what has no object is never warm
+		return HealthCheck{}, false
 	}
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
@@ -35,25 +35,25 @@
 }
 
 // checkFirst implements CheckFirst. The caller holds the lock.
-func (b *Balancer) checkFirst(pl *pool, r Request, evacuated map[ids.Zone]bool, now time.Time) (Candidate, bool) {
+func (b *Balancer) checkFirst(pl *pool, r Request, evacuated map[ids.Zone]bool, now time.Time) (HealthCheck, bool) {
 	if !pl.reportsSlowdown {
-		return Candidate{}, false
+		return HealthCheck{}, false
 	}
 	s := b.find(pl, r, evacuated, now)
 	c, t := &s.best, s.best.target
 	if t == nil || s.warm < 2 || !c.Warm || t.limits != nil || t.cold(now) || t.region != b.cfg.Regions[b.cfg.Zone] {
-		return Candidate{}, false
+		return HealthCheck{}, false
 	}
 	if now.Sub(t.slowdownAt) < checkInterval || now.Sub(t.checkedAt) < checkInterval {
-		return Candidate{}, false
+		return HealthCheck{}, false
 	}
 	finish := c.QueueDelay + c.ServiceTime + c.rtt
 	slow := finish + time.Duration((pl.slowFactor-1)*float64(c.ServiceTime))
 	if finish > r.Objective || float64(slow) <= checkFraction*float64(r.Objective) {
-		return Candidate{}, false
+		return HealthCheck{}, false
 	}
 	t.checkedAt = now
-	return Candidate{t.ID, t.Address}, true
+	return HealthCheck{t.ID, t.Address}, true
 }
 
 // ObserveHealth takes in what a target responded to a health check.
--- a/pkg/balancer/pick.go
+++ b/pkg/balancer/pick.go
@@ -28,6 +28,9 @@
 	TimeLeft time.Duration
 	// Priority is the urgency of the request, 0 for the most urgent ones.
 	Priority int
+	// MaxExpected, if it is not 0, bounds the expected time at the target. The request is not
+	// necessary then, and counts for nothing if it is not sent.
+	MaxExpected time.Duration
 }
 
 // Choice is a chosen target. Done must be called exactly once.
@@ -87,6 +90,7 @@
 		b.cfg.OnLimitedPick(r.Service)
 	}
 	s := b.find(pl, r, evacuated, now)
+	pl.picks++
 	if err := s.refusal(); err != nil {
 		return nil, err
 	}
@@ -164,10 +168,10 @@
 	best  Choice
 	score time.Duration
 	// eligible is the number of eligible targets, and warm that of those that have the object.
-	// minQueueDelay is the shortest queueing delay among them; backlog and slots are their
-	// totals.
+	// earliest is the shortest expected time among them, also of those that miss the deadline;
+	// backlog and slots are their totals.
 	eligible, warm int
-	minQueueDelay  time.Duration
+	earliest       time.Duration
 	backlog, slots float64
 	// limited are the targets that would be eligible if this host had a permit.
 	limited []*target
@@ -220,8 +224,8 @@
 
 // add considers one eligible target.
 func (s *search) add(c Choice, score time.Duration) {
-	if s.eligible == 0 || c.QueueDelay < s.minQueueDelay {
-		s.minQueueDelay = c.QueueDelay
+	if finish := c.QueueDelay + c.measuredServiceTime() + c.rtt; s.eligible == 0 || finish < s.earliest {
+		s.earliest = finish
 	}
 	s.eligible++
 	if c.Warm {
@@ -249,6 +253,11 @@
 		return &ErrLimited{RetryAfter: pl.nextPermit(s.limited, s.shares, s.now)}
 	case s.eligible == 0:
 		return &ErrNoTarget{}
+	case s.request.MaxExpected > 0:
+		if s.best.target == nil || s.best.QueueDelay+s.best.ServiceTime > s.request.MaxExpected {
+			return &ErrBusy{}
+		}
+		return nil
 	default:
 		return s.admission()
 	}
--- a/pkg/balancer/survey.go
+++ b/pkg/balancer/survey.go
@@ -17,9 +17,8 @@
 
 // survey is the load of a pool's targets that take requests.
 type survey struct {
-	at            time.Time
-	loads         []regionLoad
-	minQueueDelay time.Duration
+	at    time.Time
+	loads []regionLoad
 }
 
 // regionLoad is the load of a region's targets, and their number.
@@ -30,12 +29,20 @@
 
 // pressure returns the ratio of requests to slots, more than 1 when requests are queued.
 func (s *survey) pressure() float64 {
-	backlog, slots := 0.0, 0.0
+	backlog := 0.0
 	for _, l := range s.loads {
 		backlog += l.Backlog
+	}
+	return backlog / max(s.slots(), 1)
+}
+
+// slots returns the number of slots in all regions.
+func (s *survey) slots() float64 {
+	slots := 0.0
+	for _, l := range s.loads {
 		slots += l.Slots
 	}
-	return backlog / max(slots, 1)
+	return slots
 }
 
 // pressureIn returns the pressure in one region.
@@ -54,8 +61,7 @@
 	if !s.at.IsZero() && now.Sub(s.at) < surveyInterval {
 		return
 	}
-	s.at, s.loads, s.minQueueDelay = now, s.loads[:0], 0
-	first := true
+	s.at, s.loads = now, s.loads[:0]
 	for _, t := range pl.targets {
 		if evacuated[t.Zone] || t.exclusion(&Request{}, now) != "" {
 			continue
@@ -65,9 +71,9 @@
 		l.Backlog += backlog
 		l.Slots += slots
 		l.Targets++
-		if delay := queueDelay(backlog, slots, pl.meanServiceTime); first || delay < s.minQueueDelay {
-			s.minQueueDelay, first = delay, false
-		}
+	}
+	if !pl.hasCandidates() {
+		return
 	}
 	pl.pressure = s.pressure()
 	loads := make([]shifter.Load, 0, len(s.loads))
@@ -108,7 +114,8 @@
 	all := make(map[ids.Service]ServiceLoad)
 	for name, pl := range b.services {
 		pl.mu.Lock()
-		if pl.hasCandidates() && !pl.survey.at.IsZero() {
+		if pl.hasCandidates() {
+			b.refreshSurvey(pl, b.evacuated, time.Now())
 			all[name] = ServiceLoad{Pressure: pl.pressure, Own: pl.shifter.Own()}
 		}
 		pl.mu.Unlock()
@@ -127,5 +134,5 @@
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	b.refreshSurvey(pl, evacuated, time.Now())
-	return pl.pressure < maxPressureWithRoom
+	return pl.survey.pressure() < maxPressureWithRoom
 }
--- a/pkg/hedger/hedger.go
+++ b/pkg/hedger/hedger.go
@@ -104,7 +104,8 @@
 	return max(scale(times.percentile(max(minPercentile, 1-share)), expected, unit), minDelay), true
 }
 
-// unit is the response time that is recorded for a request that took as long as expected.
+// unit stands for a ratio of 1: the histograms hold ratios of the actual to the expected time, as
+// parts of it.
 const unit = time.Second
 
 // scale returns d times the ratio of two durations. The ratio is 1 if one of them is not known.
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -78,6 +78,9 @@
 	missingUntil map[ids.Target]time.Time
 	// tombstones holds the targets that are draining or were removed.
 	tombstones tombstones
+	// notifiedAt is when OnChange was last called, and changed is set if it is due.
+	notifiedAt time.Time
+	changed    bool
 }
 
 // Put adds a target, or replaces its registration.
@@ -164,8 +167,9 @@
 	return true
 }
 
-// Expire drops the missing targets whose time is over, and releases the registrations
-// whose quarantine is over. It is to be called at short intervals.
+// Expire drops the missing targets whose time is over, releases the registrations whose
+// quarantine is over, and passes on changes that were held back. It is to be called at short
+// intervals.
 func (r *Registrar) Expire() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -182,15 +186,27 @@
 	for _, t := range r.tombstones.expire(now) {
 		r.put(t)
 	}
-	if expired {
+	if expired || r.changed {
 		r.notify()
 	}
 }
 
+// In registries with more than maxAtOnce targets, changes that follow each other within
+// changeInterval are passed on together. Each call of OnChange costs time for all targets, and
+// when a fleet starts, or a store comes back, each of them changes.
+const (
+	maxAtOnce      = 256
+	changeInterval = 100 * time.Millisecond
+)
+
+// notify calls OnChange, or leaves that to Expire. The caller holds the lock.
 func (r *Registrar) notify() {
-	if r.OnChange == nil {
+	now := time.Now()
+	r.changed = len(r.targets) > maxAtOnce && now.Sub(r.notifiedAt) < changeInterval
+	if r.changed || r.OnChange == nil {
 		return
 	}
+	r.notifiedAt = now
 	all := make([]Target, 0, len(r.targets))
 	for _, t := range r.targets {
 		all = append(all, t)
--- a/pkg/shifter/shifter.go
+++ b/pkg/shifter/shifter.go
@@ -25,7 +25,8 @@
 	// maxRate bounds the part of the requests that change their region in a second. Operators
 	// allow 0.15 in 2 s, of which a third is left for differences between hosts.
 	maxRate = 0.05
-	// maxReturnRate bounds the part that returns in a second. Each return costs the objects their
+	// maxReturnRate bounds the part that returns in a second, unless the other regions are full:
+	// then it is maxRate. Each return costs the objects their
 	// warm targets, and is not urgent.
 	maxReturnRate = 0.03
 	// Requests leave a region whose utilisation exceeds highUtilisation, and return below
@@ -180,8 +181,8 @@
 	return slices.BinarySearchFunc(s.others, region, func(o share, r ids.Region) int { return cmp.Compare(o.region, r) })
 }
 
-// Region returns the region of an object, or own for most objects while most requests stay
-// there. A change of the shares changes the region of few objects.
+// Region returns the region in which requests for an object run; own is this host's region. A
+// change of the shares changes the region of few objects.
 func (s *Shifter) Region(own ids.Region, object uint32) ids.Region {
 	x := fraction(object)
 	low, high := 0.0, 1.0
--- a/service/gateway/health.go
+++ b/service/gateway/health.go
@@ -40,7 +40,7 @@
 // health checks the health of a target. It returns false if the check failed, or another target
 // responded.
 func (h *Handler) health(
-	ctx context.Context, r *router.Router, service ids.Service, c balancer.Candidate,
+	ctx context.Context, r *router.Router, service ids.Service, c balancer.HealthCheck,
 ) (report balancer.LoadReport, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
--- a/service/gateway/health_test.go
+++ b/service/gateway/health_test.go
@@ -42,9 +42,9 @@
 	wanted   []balancer.Request
 }
 
-func (b *checkingBalancer) CheckFirst(balancer.Request) (balancer.Candidate, bool) {
+func (b *checkingBalancer) CheckFirst(balancer.Request) (balancer.HealthCheck, bool) {
 	b.asked++
-	return balancer.Candidate{Target: "one", Address: "10.0.0.1:1"}, true
+	return balancer.HealthCheck{Target: "one", Address: "10.0.0.1:1"}, true
 }
 
 func (b *checkingBalancer) ObserveHealth(id ids.Target, _ balancer.LoadReport) {
--- a/service/gateway/hedge.go
+++ b/service/gateway/hedge.go
@@ -31,13 +31,14 @@
 	// used up.
 	deniedShare  = "share"
 	deniedBudget = "budget"
-	// deniedTime means that a second target is not expected to respond in time.
+	// deniedTime means that too little time is left, or that the second target is expected to
+	// take more than maxHedgeFactor times as long as the first one.
 	deniedTime = "time"
 	// deniedTarget means that there is no second target that may get the request.
 	deniedTarget = "noTarget"
 )
 
-// maxHedgeFactor is how much longer than the first send a hedge may be expected to take. A target
+// maxHedgeFactor bounds the expected time of a hedge, as a multiple of that of the first send. A target
 // without the object seldom overtakes one that has it.
 const maxHedgeFactor = 2
 
@@ -195,20 +196,25 @@
 		return nil, deniedTime
 	case !cfg.Balancer.HasRoom(q.service):
 		return nil, deniedRoom
-	case !cfg.Hedger.Allow(q.service):
-		return nil, deniedShare
-	case !cfg.RetryBudget.AllowRetry(q.service, ""):
-		return nil, deniedBudget
 	}
-	c, err := cfg.Balancer.Pick(q.balancerRequest(avoid))
-	if err != nil {
-		return nil, deniedTarget
-	}
-	if q.endsLate(c) || expectedTime(c) > maxHedgeFactor*expectedTime(first) {
-		c.Done(balancer.Result{})
+	wanted := q.balancerRequest(avoid)
+	wanted.MaxExpected = min(maxHedgeFactor*expectedTime(first), wanted.TimeLeft)
+	c, err := cfg.Balancer.Pick(wanted)
+	var busy *balancer.ErrBusy
+	switch {
+	case errors.As(err, &busy):
 		return nil, deniedTime
+	case err != nil:
+		return nil, deniedTarget
+	case !cfg.Hedger.Allow(q.service):
+		denied = deniedShare
+	case !cfg.RetryBudget.AllowRetry(q.service, ""):
+		denied = deniedBudget
+	default:
+		return c, ""
 	}
-	return c, ""
+	c.Done(balancer.Result{})
+	return nil, denied
 }
 
 // mayHedge reports whether the request may be in progress at two targets: it may still be sent,
--- a/service/gateway/ports.go
+++ b/service/gateway/ports.go
@@ -108,7 +108,7 @@
 	Pick(req balancer.Request) (*balancer.Choice, error)
 	// CheckFirst returns the target whose health is to be checked before Pick is called, as
 	// its state decides which target is best. It returns false if there is none.
-	CheckFirst(req balancer.Request) (balancer.Candidate, bool)
+	CheckFirst(req balancer.Request) (balancer.HealthCheck, bool)
 	// Explain tells what Pick would do with a request now, and changes nothing.
 	Explain(req balancer.Request) balancer.Explanation
 	// ObserveHealth takes in what a target responded to a health check.
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -83,6 +83,7 @@
 		}
 		if reason := q.mayStillSend(); reason != "" {
 			choice.Done(balancer.Result{})
+			p.release()
 			q.giveUp(ctx, reason, retryAfterNotReady)
 			return
 		}
@@ -102,13 +103,18 @@
 	}
 	if p.last != nil {
 		q.dropBody(p.last)
-		if p.last.release != nil {
-			p.last.release()
-		}
+		p.release()
 	}
 	p.last = res
 }
 
+// release ends a streamed response that is not passed on.
+func (p *progress) release() {
+	if p.last != nil && p.last.release != nil {
+		p.last.release()
+	}
+}
+
 // isOver reports whether there is a response that is not to be replaced by another one.
 func (p *progress) isOver(route *router.Route) bool {
 	return p.last.usable && (p.last.resp.StatusCode < http.StatusInternalServerError || !route.Kind.Idempotent())
@@ -230,8 +236,8 @@
 	return s, true
 }
 
-// run sends and returns the result. It may run in a goroutine of its own, as it changes
-// nothing of the request and reads only what stays the same.
+// run sends and returns the result. It may run in a goroutine of its own: of the request it
+// changes only the memory holding and the body's reader, which have locks.
 func (q *request) run(s *send) *result {
 	res := q.exchange(s.ctx, s.choice, s.request)
 	s.answered(res.resp != nil)
--- a/service/gatewayhost/loads.go
+++ b/service/gatewayhost/loads.go
@@ -11,7 +11,8 @@
 	"gypsumbeam.example/gypsumbeam/pkg/ids"
 )
 
-// loggedChange is by how much the share of a region must have changed for a log line.
+// loggedChange is the least change of the own region's share, as a fraction of the requests, that
+// is logged.
 const loggedChange = 0.05
 
 // loadRecorder tells the load of services, and how the requests of this host's region move to
@@ -59,7 +60,10 @@
 func (r *loadRecorder) load(name ids.Service) balancer.ServiceLoad {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.loads[name]
+	if l, ok := r.loads[name]; ok {
+		return l
+	}
+	return balancer.ServiceLoad{Own: 1} // its objects no longer have candidates
 }
 
 func percent(fraction float64) int64 { return int64(math.Round(100 * fraction)) }
