--- a/pkg/shifter/shifter_test.go
+++ b/pkg/shifter/shifter_test.go
@@ -17,9 +17,9 @@
 	// the requests that run in each region.
 	interval = 100 * time.Millisecond
 	window   = 2 * time.Second
-	// maxShift is the part of a region's requests that may change their region from one
+	// shiftBound is the part of a region's requests that may change their region from one
 	// window to the next.
-	maxShift = 0.15
+	shiftBound = 0.15
 	objects  = 3000
 )
 
@@ -152,8 +152,8 @@
 			m.run(25 * time.Second)
 			is.Equal(m.shifter.Own(), 1.0)
 			t.Logf("largest shift of requests %.3f, of objects %.3f", m.largestShift(0), m.moved)
-			is.True(m.largestShift(0) <= maxShift)
-			is.True(m.moved <= maxShift)
+			is.True(m.largestShift(0) <= shiftBound)
+			is.True(m.moved <= shiftBound)
 		})
 	}
 }
@@ -172,8 +172,8 @@
 			m.run(time.Duration(rnd.IntN(6000)) * time.Millisecond)
 		}
 		t.Logf("largest shift of requests %.3f, of objects %.3f", m.largestShift(0), m.moved)
-		is.True(m.largestShift(0) <= maxShift)
-		is.True(m.moved <= maxShift)
+		is.True(m.largestShift(0) <= shiftBound)
+		is.True(m.moved <= shiftBound)
 	})
 }
 
@@ -217,7 +217,7 @@
 		m.slots["west"] = 300
 		_, last := m.run(30 * time.Second)
 		is.True(last < 0.9)
-		is.True(m.largestShift(0) <= maxShift)
+		is.True(m.largestShift(0) <= shiftBound)
 	})
 }
 
@@ -238,7 +238,7 @@
 		m.slots["west"] = west
 		from := len(m.windows)
 		m.run(20 * time.Second)
-		is.True(m.largestShift(from) <= maxShift)
+		is.True(m.largestShift(from) <= shiftBound)
 	})
 }
 
@@ -250,9 +250,9 @@
 		out        time.Duration
 		own, limit float64
 	}{
-		{10 * time.Second, 0, maxShift},
-		{2 * time.Second, 0, maxShift},
-		{200 * time.Millisecond, 0.9, maxShift + 0.1}, // a tenth of the window had nowhere else to run
+		{10 * time.Second, 0, shiftBound},
+		{2 * time.Second, 0, shiftBound},
+		{200 * time.Millisecond, 0.9, shiftBound + 0.1}, // a tenth of the window had nowhere else to run
 	} {
 		t.Run(c.out.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
