pkg/replayer: a second send never lacks a part of the body

A target refused an upload before it had read it, and the send that failed read on while the next one began, until more was read than is buffered; the second send skipped what was dropped (seen in the soak as 'ContentLength=3903375 with Body length 3752030'). With a chunked body the target would have got it without an error. A new reader now ends those before it, and a reader whose data was dropped fails.

--- a/pkg/replayer/replayer.go
+++ b/pkg/replayer/replayer.go
@@ -9,11 +9,13 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 )
 
 var (
 	errTooLarge = errors.New("the request body exceeds its size limit")
 	errClosed   = errors.New("read from a closed request body")
+	errDropped  = errors.New("a part of the request body is no longer buffered")
 )
 
 // prefixSize is how much of a body is kept that is too long to be buffered.
@@ -23,6 +25,8 @@
 // called from several goroutines.
 type Replayer struct {
 	bufferSize int64
+	// readers is the number of readers.
+	readers atomic.Int64
 
 	mu     sync.Mutex
 	limit  int64
@@ -122,15 +126,20 @@
 	r.limit = limit
 }
 
-// NewReader returns a reader of the body from its start, for one attempt.
-func (r *Replayer) NewReader() io.ReadCloser { return &reader{body: r, done: make(chan struct{})} }
+// NewReader returns a reader of the body from its start, for one attempt. Earlier readers read
+// no further from the source: what they took would be missing from the buffer of this one.
+func (r *Replayer) NewReader() io.ReadCloser {
+	return &reader{body: r, number: r.readers.Add(1), done: make(chan struct{})}
+}
 
 // reader reads the body for one attempt.
 type reader struct {
 	body *Replayer
-	pos  int64
-	once sync.Once
-	done chan struct{}
+	// number counts the readers of the body.
+	number int64
+	pos    int64
+	once   sync.Once
+	done   chan struct{}
 }
 
 // Read implements io.Reader.
@@ -147,6 +156,12 @@
 		r.pos += int64(n)
 		return n, nil
 	}
+	switch {
+	case r.pos != r.body.read:
+		return 0, errDropped
+	case r.body.err == nil && r.number != r.body.readers.Load():
+		return 0, errClosed
+	}
 	n, err := r.body.next(p)
 	r.pos += int64(n)
 	return n, err
--- a/pkg/shifter/shifter_test.go
+++ b/pkg/shifter/shifter_test.go
@@ -20,7 +20,7 @@
 	// shiftBound is the part of a region's requests that may change their region from one
 	// window to the next.
 	shiftBound = 0.15
-	objects  = 3000
+	objects    = 3000
 )
 
 // model is a model of one region's callers and of the targets in all regions. Each region has
