--- /dev/null
+++ b/review/stage2/pipeline.go
@@ -0,0 +1,154 @@
+//go:build review
+
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+)
+
+const (
+	pipelineClients = 12
+	// pipelineDepth bounds the requests of a connection that are in progress at once.
+	pipelineDepth = 3
+	// pipelineWork is how long the upstreams work on a request.
+	pipelineWork  = 250 * time.Millisecond
+	sheetDeadline = 3 * time.Second
+)
+
+// pipelineAtStop stops one of three hosts while clients have several safe requests in progress on
+// each of their connections.
+func pipelineAtStop(s *stage) ([]string, error) {
+	s.publish(document{version: 2})
+	for i := range 12 {
+		if _, err := s.addUpstream("stitch", i%len(zones), pipelineWork); err != nil {
+			return nil, err
+		}
+	}
+	for z := range 3 {
+		if _, err := s.addHost(z); err != nil {
+			return nil, err
+		}
+	}
+	if err := s.waitReady(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var clients sync.WaitGroup
+	for i := range pipelineClients {
+		clients.Go(func() { s.pipelineClient(ctx, zones[i%len(s.hosts)]) })
+	}
+	time.Sleep(stableWindow + time.Second)
+	stopped := time.Now()
+	if s.trouble {
+		s.hosts[0].terminate()
+	} else {
+		time.Sleep(gracePeriod)
+	}
+	cancel()
+	clients.Wait()
+	return s.cutOff(stopped), nil
+}
+
+// resolve asks the directory where to connect, and returns an address other than the one that
+// has closed the last connection, if there is one.
+func (s *stage) resolve(z zone, closed string) string {
+	c := http.Client{Timeout: time.Second}
+	for _, h := range s.hosts {
+		if h.front == closed {
+			continue
+		}
+		resp, err := c.Get(fmt.Sprintf("http://%s/resolve?name=%s&region=%s&zone=%s", h.directory, routeHost, z.region, z.name))
+		if err != nil {
+			continue
+		}
+		var answer struct {
+			Addrs []string `json:"addrs"`
+		}
+		err = json.NewDecoder(resp.Body).Decode(&answer)
+		_ = resp.Body.Close() // it was read
+		if err != nil {
+			continue
+		}
+		for _, a := range answer.Addrs {
+			if a != closed {
+				return a
+			}
+		}
+	}
+	return ""
+}
+
+// pipelineClient keeps a connection to a host of its zone, and opens another one when that is
+// closed.
+func (s *stage) pipelineClient(ctx context.Context, z zone) {
+	closed := ""
+	for ctx.Err() == nil {
+		address := s.resolve(z, closed)
+		if address == "" {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		if c, err := dial(address); err == nil {
+			s.pipelineOn(ctx, c, address)
+			_ = c.Close() // all that was due has been read
+		}
+		closed = address
+	}
+}
+
+// pipelineOn sends safe requests on a connection, further ones before the first one is answered,
+// until a response closes the connection or ctx ends. It reads until the connection ends.
+func (s *stage) pipelineOn(ctx context.Context, c io.ReadWriter, address string) {
+	due := make(chan string, pipelineDepth-1)
+	closing := make(chan struct{})
+	go func() {
+		defer close(due)
+		for ctx.Err() == nil {
+			select {
+			case <-closing:
+				return
+			default:
+			}
+			id := newID()
+			s.update(id, func(l *life) { l.sentAt, l.host = time.Now(), address })
+			if _, err := io.WriteString(c, head("GET", "/sheet/"+id, id, sheetDeadline)+"\r\n"); err != nil {
+				s.ended(id, "not sent")
+				return
+			}
+			due <- id
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	br := bufio.NewReader(c)
+	open := true
+	for id := range due {
+		if !s.answerOf(br, id, "/sheet/"+id) && open {
+			open = false
+			close(closing)
+		}
+	}
+}
+
+// cutOff returns the requests that had reached an upstream and got no complete answer.
+func (s *stage) cutOff(stopped time.Time) []string {
+	var broken []string
+	all := s.lives()
+	sort.Slice(all, func(i, j int) bool { return all[i].id < all[j].id })
+	for _, l := range all {
+		s.note("%s sent to %s %+.3f s after the stop, reached %v %+.3f, ran at %v, ended %+.3f: %s", l.id, l.host, l.sentAt.Sub(stopped).Seconds(),
+			l.arrivals, l.arrivedAt.Sub(stopped).Seconds(), l.runs, l.endedAt.Sub(stopped).Seconds(), l.ending)
+		if len(l.arrivals) > 0 && !l.complete {
+			broken = append(broken, fmt.Sprintf("%s, sent to %s %+.3f s after the stop, was passed on to %v and got no complete answer: %s",
+				l.id, l.host, l.sentAt.Sub(stopped).Seconds(), l.arrivals, l.ending))
+		}
+	}
+	return broken
+}
