--- a/review/stage2/client.go
+++ b/review/stage2/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -39,7 +40,7 @@
 		switch {
 		case err != nil:
 			l.ending += fmt.Sprintf(", broken off: %v", err)
-		case resp.StatusCode < 300 && string(text) != answerTo(id, path):
+		case resp.StatusCode < 300 && !strings.HasPrefix(string(text), answerTo(id, path, shortAnswer)):
 			l.ending += ", the body is wrong"
 		}
 		if resp.Close {
--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -24,6 +24,7 @@
 // cases holds the cases by their names. Each one returns what broke its rule.
 var cases = map[string]func(s *stage) (broken []string, err error){
 	"pipeline": pipelineAtStop,
+	"broken":   pipelineBehindBrokenAnswers,
 }
 
 func main() {
--- a/review/stage2/pipeline.go
+++ b/review/stage2/pipeline.go
@@ -54,7 +54,7 @@
 	}
 	cancel()
 	clients.Wait()
-	return s.cutOff(stopped), nil
+	return s.cutOff(stopped, func(*life) bool { return true }), nil
 }
 
 // resolve asks the directory where to connect, and returns an address other than the one that
@@ -137,17 +137,18 @@
 	}
 }
 
-// cutOff returns the requests that had reached an upstream and got no complete answer.
-func (s *stage) cutOff(stopped time.Time) []string {
+// cutOff returns the requests that count, had reached an upstream and got no complete answer. Times
+// are from the disruption on.
+func (s *stage) cutOff(since time.Time, counts func(l *life) bool) []string {
 	var broken []string
 	all := s.lives()
 	sort.Slice(all, func(i, j int) bool { return all[i].id < all[j].id })
 	for _, l := range all {
-		s.note("%s sent to %s %+.3f s after the stop, reached %v %+.3f, ran at %v, ended %+.3f: %s", l.id, l.host, l.sentAt.Sub(stopped).Seconds(),
-			l.arrivals, l.arrivedAt.Sub(stopped).Seconds(), l.runs, l.endedAt.Sub(stopped).Seconds(), l.ending)
-		if len(l.arrivals) > 0 && !l.complete {
-			broken = append(broken, fmt.Sprintf("%s, sent to %s %+.3f s after the stop, was passed on to %v and got no complete answer: %s",
-				l.id, l.host, l.sentAt.Sub(stopped).Seconds(), l.arrivals, l.ending))
+		s.note("%s sent to %s %+.3f s from the disruption on, reached %v %+.3f, ran at %v, ended %+.3f: %s", l.id, l.host, l.sentAt.Sub(since).Seconds(),
+			l.arrivals, l.arrivedAt.Sub(since).Seconds(), l.runs, l.endedAt.Sub(since).Seconds(), l.ending)
+		if len(l.arrivals) > 0 && !l.complete && counts(l) {
+			broken = append(broken, fmt.Sprintf("%s, sent to %s %+.3f s from the disruption on, was passed on to %v and got no complete answer: %s",
+				l.id, l.host, l.sentAt.Sub(since).Seconds(), l.arrivals, l.ending))
 		}
 	}
 	return broken
--- a/review/stage2/upstream.go
+++ b/review/stage2/upstream.go
@@ -21,8 +21,12 @@
 	born                       int64
 	seq                        int
 	srv                        *http.Server
-	// work is how long a request takes.
-	work time.Duration
+	// work is how long a request takes, and lines the length of its answer.
+	work  time.Duration
+	lines int
+	// breaksOff tells whether the upstream breaks off its answer to a request; nil means never. One
+	// for which it is set is not sound.
+	breaksOff func() bool
 }
 
 // slotCount is how many requests an upstream runs at once.
@@ -37,7 +41,7 @@
 	}
 	u := &upstream{
 		stage: s, id: fmt.Sprintf("i-%s-%d", service, n), service: service, zone: zones[z].name, address: l.Addr().String(),
-		slots: make(chan struct{}, slotCount), queue: make(chan struct{}, slotCount+6), born: time.Now().UnixMilli(), work: work,
+		slots: make(chan struct{}, slotCount), queue: make(chan struct{}, slotCount+6), born: time.Now().UnixMilli(), work: work, lines: shortAnswer,
 	}
 	u.srv = &http.Server{Handler: u, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second}
 	go func() { _ = u.srv.Serve(l) }() // ends with the upstream
@@ -105,8 +109,12 @@
 	}
 	w.Header().Set("Server-Stamp", "stamp-"+u.id)
 	w.Header().Set("Server-Load", u.load())
-	text := answerTo(id, r.URL.Path)
+	text := answerTo(id, r.URL.Path, u.lines)
 	w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+	if u.breaksOff != nil && u.breaksOff() {
+		u.stage.note("%s breaks off its answer to %s", u.id, id)
+		text = text[:len(text)/2] // net/http then closes the connection
+	}
 	_, _ = io.WriteString(w, text) // the host may have left
 }
 
@@ -116,8 +124,15 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// shortAnswer is the number of lines of an answer of some 300 bytes, and longAnswer that of one of
+// some 100 KB.
+const (
+	shortAnswer = 8
+	longAnswer  = 2500
+)
+
 // answerTo returns the only right body of the answer to a request.
-func answerTo(id, path string) string { return strings.Repeat(id+" "+path+"\n", 8) }
+func answerTo(id, path string, lines int) string { return strings.Repeat(id+" "+path+"\n", lines) }
 
 // wait waits for d, and returns false if ctx ends before.
 func wait(ctx context.Context, d time.Duration) bool {
