--- a/review/stage2/stage.go
+++ b/review/stage2/stage.go
@@ -43,8 +43,10 @@
 	storeSrv *http.Server
 	storeAt  string
 	network  int
-	hosts    []*host
-	servers  []*upstream
+	// taken is held while the stage uses its network.
+	taken   net.Listener
+	hosts   []*host
+	servers []*upstream
 
 	mu     sync.Mutex
 	record *os.File
@@ -74,7 +76,9 @@
 		return nil, err
 	}
 	s := &stage{folder: folder, trouble: trouble, store: &kvstore.Store{}, record: f, start: time.Now(), events: make(map[string]*life)}
-	s.network = os.Getpid()%250 + 1
+	if err := s.takeNetwork(); err != nil {
+		return nil, err
+	}
 	l, err := net.Listen("tcp", s.ip(200)+":0")
 	if err != nil {
 		return nil, err
@@ -85,6 +89,21 @@
 	return s, nil
 }
 
+// metricsPort is the port of the metrics, which the template of the settings sets.
+const metricsPort = "9464"
+
+// takeNetwork takes a range of loopback addresses that no other stage uses: hosts of two stages at
+// one address would share the port of the metrics.
+func (s *stage) takeNetwork() (err error) {
+	for i := range 250 {
+		s.network = (os.Getpid()+i)%250 + 1
+		if s.taken, err = net.Listen("tcp", s.ip(250)+":"+metricsPort); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
 // ip returns a loopback address of this stage.
 func (s *stage) ip(n int) string { return fmt.Sprintf("127.88.%d.%d", s.network, n) }
 
@@ -133,6 +152,7 @@
 		u.crash()
 	}
 	_ = s.storeSrv.Close() // the stage ends
+	_ = s.taken.Close()    // the stage ends
 	_ = s.record.Close()   // the stage ends
 }
 
