--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -30,12 +30,13 @@
 func main() {
 	name := flag.String("case", "", "the case to play")
 	record := flag.String("record", "record.txt", "the file for what was sent, answered and run")
+	trouble := flag.Bool("trouble", true, "play the disruption; without it all else is the same")
 	logs := flag.String("logs", "", "a folder that keeps the settings and logs of the hosts; a temporary one if empty")
 	flag.Parse()
-	os.Exit(play(*name, *record, *logs))
+	os.Exit(play(*name, *record, *logs, *trouble))
 }
 
-func play(name, record, logs string) int {
+func play(name, record, logs string, trouble bool) int {
 	c, ok := cases[name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "no such case: %q\n", name)
@@ -50,7 +51,7 @@
 		defer func() { _ = os.RemoveAll(temporary) }() // nobody needs it
 		logs = temporary
 	}
-	s, err := newStage(logs, record, os.Getenv("TROUBLE") != "0")
+	s, err := newStage(logs, record, trouble)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotPlayed
--- a/review/stage2/stage.go
+++ b/review/stage2/stage.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,9 +45,11 @@
 	storeAt  string
 	network  int
 	// taken is held while the stage uses its network.
-	taken   net.Listener
-	hosts   []*host
-	servers []*upstream
+	taken net.Listener
+	// startCount and endCount count the starts and ends of the processes of all hosts.
+	startCount, endCount atomic.Int64
+	hosts                []*host
+	servers              []*upstream
 
 	mu     sync.Mutex
 	record *os.File
@@ -79,6 +82,7 @@
 	if err := s.takeNetwork(); err != nil {
 		return nil, err
 	}
+	s.note("the disruption is played: %t", trouble)
 	l, err := net.Listen("tcp", s.ip(200)+":0")
 	if err != nil {
 		return nil, err
@@ -148,6 +152,7 @@
 	for _, h := range s.hosts {
 		h.stop()
 	}
+	s.note("%d processes were started, %d have ended", s.startCount.Load(), s.endCount.Load())
 	for _, u := range s.servers {
 		u.crash()
 	}
@@ -264,6 +269,8 @@
 		return err
 	}
 	h.starts++
+	h.stage.startCount.Add(1)
+	h.stage.note("%s: process %d started", h.name, h.cmd.Process.Pid)
 	h.exited = make(chan struct{})
 	go h.await(h.cmd, h.exited)
 	return nil
@@ -273,6 +280,7 @@
 func (h *host) await(cmd *exec.Cmd, exited chan struct{}) {
 	_ = cmd.Wait() // the status is in the note
 	h.stage.note("%s: process %d exited: %s", h.name, cmd.Process.Pid, cmd.ProcessState)
+	h.stage.endCount.Add(1)
 	close(exited)
 	time.Sleep(500 * time.Millisecond)
 	if err := h.run(); err != nil {
