review 7 and 9: clients wait until the look-ups name the host of each zone

Traced in nine more (8 broken): clients looked up their host before the hosts knew each other, and all went to one, at times not to the one that was stopped. Case 7 exits with 2 if that has nothing in progress. The checks are unchanged.

--- a/review/stage2/broken.go
+++ b/review/stage2/broken.go
@@ -47,6 +47,9 @@
 	if err := s.waitReady(); err != nil {
 		return nil, err
 	}
+	if err := s.waitKnown(); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
 	for i := range 2 * pipelineClients {
--- a/review/stage2/pipeline.go
+++ b/review/stage2/pipeline.go
@@ -40,12 +40,19 @@
 	if err := s.waitReady(); err != nil {
 		return nil, err
 	}
+	if err := s.waitKnown(); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	var clients sync.WaitGroup
 	for i := range pipelineClients {
 		clients.Go(func() { s.pipelineClient(ctx, zones[i%len(s.hosts)]) })
 	}
 	time.Sleep(stableWindow + time.Second)
+	if n := s.inProgress(s.hosts[0].front); n == 0 {
+		return nil, fmt.Errorf("the host that is to be stopped has no request in progress")
+	}
 	stopped := time.Now()
 	if s.trouble {
 		s.hosts[0].terminate()
@@ -57,27 +64,62 @@
 	return s.cutOff(stopped, func(*life) bool { return true }), nil
 }
 
+// waitKnown waits until the look-ups of all hosts name to the clients of each zone the host of that
+// zone. Just after the start the hosts do not know each other yet.
+func (s *stage) waitKnown() error {
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		known := true
+		for _, asked := range s.hosts {
+			for i, h := range s.hosts {
+				addresses := s.lookUp(asked, zones[i])
+				known = known && len(addresses) == 1 && addresses[0] == h.front
+			}
+		}
+		if known {
+			s.note("the look-ups name the host of each zone")
+			return nil
+		}
+	}
+	return fmt.Errorf("the look-ups do not name the hosts of the zones after 15 s")
+}
+
+// inProgress returns the number of requests that were sent to an address and have not ended.
+func (s *stage) inProgress(address string) int {
+	n := 0
+	for _, l := range s.lives() {
+		if l.host == address && l.endedAt.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// lookUp asks the directory of a host where clients of a zone are to connect.
+func (s *stage) lookUp(h *host, z zone) []string {
+	c := http.Client{Timeout: time.Second}
+	resp, err := c.Get(fmt.Sprintf("http://%s/resolve?name=%s&region=%s&zone=%s", h.directory, routeHost, z.region, z.name))
+	if err != nil {
+		return nil
+	}
+	var answer struct {
+		Addrs []string `json:"addrs"`
+	}
+	err = json.NewDecoder(resp.Body).Decode(&answer)
+	_ = resp.Body.Close() // it was read
+	if err != nil {
+		return nil
+	}
+	return answer.Addrs
+}
+
 // resolve asks the directory where to connect, and returns an address other than the one that
 // has closed the last connection, if there is one.
 func (s *stage) resolve(z zone, closed string) string {
-	c := http.Client{Timeout: time.Second}
 	for _, h := range s.hosts {
 		if h.front == closed {
 			continue
 		}
-		resp, err := c.Get(fmt.Sprintf("http://%s/resolve?name=%s&region=%s&zone=%s", h.directory, routeHost, z.region, z.name))
-		if err != nil {
-			continue
-		}
-		var answer struct {
-			Addrs []string `json:"addrs"`
-		}
-		err = json.NewDecoder(resp.Body).Decode(&answer)
-		_ = resp.Body.Close() // it was read
-		if err != nil {
-			continue
-		}
-		for _, a := range answer.Addrs {
+		for _, a := range s.lookUp(h, z) {
 			if a != closed {
 				return a
 			}
