pkg/pipeliner: the last response that is due closes a connection, and nothing begins behind it

Callers saw: a host got SIGTERM, the next response on each of their connections said "Connection: close", and the connection ended.

Cause: service/gateway asked for the close with every response once the host stopped, and pkg/pipeliner closed the connection after that response, whatever had begun behind it: which request may begin and which response closes were decided in different places. The same holds for a request that itself has "Connection: close", with others pipelined behind it; and a further request, or a half-close, during a long response that closes the connection cut that response off, as the reading goroutine ended the connection.

Ruled out: targets, deadlines and the end of the grace period, as the cut came with the first response after SIGTERM.

Change: connState decides under one lock which requests begin and which response closes. The server, not the handler, knows of the stop, in three steps: a connection closes with the first response behind which nothing is due or coming (DisableKeepAlives); after 1 s no request begins behind a due one, so that a caller that never pauses is told to close with the last of them (DisablePipelining); after 2.5 s requests are refused, as before. A connection whose last request has begun discards what comes, and Drain waits until the caller has closed it, at most a second. A server counts what it cuts (Cut; metric callers.cutResponses, field cut of "stopped"). The header readers of pkg/pipeliner have a file of their own.

TestDrainingHostClosesConnections of service/gateway looked at a header that the handler sets no longer. Its two halves are TestDrainingHostRejectsRequests there, and TestStoppingHostClosesConnections of service/gatewayhost, which reads the close from the connection, before and after requests are refused. In-memory connections can be closed for writing alone, as TCP's; net/http then waits before it closes one, for which the callers' fleet waits too.

--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -48,6 +48,12 @@
 	return nil
 }
 
+// CloseWrite closes the writing direction, as that of net.TCPConn does.
+func (c *conn) CloseWrite() error {
+	c.w.closeWrite()
+	return nil
+}
+
 // abort resets both directions.
 func (c *conn) abort() {
 	c.r.reset()
--- a/internal/memnet/tcp.go
+++ b/internal/memnet/tcp.go
@@ -59,11 +59,8 @@
 
 // closeWrite closes the writing direction of a connection.
 func closeWrite(c net.Conn) {
-	switch c := c.(type) {
-	case *net.TCPConn:
-		_ = c.CloseWrite() // an error means that it is closed already
-	case *conn:
-		c.w.closeWrite()
+	if w, ok := c.(interface{ CloseWrite() error }); ok {
+		_ = w.CloseWrite() // an error means that it is closed already
 	}
 }
 
--- a/pkg/pipeliner/conn.go
+++ b/pkg/pipeliner/conn.go
@@ -2,14 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"sync"
 	"time"
 )
 
@@ -21,89 +18,16 @@
 	headReader *headReader
 	br         *bufio.Reader
 	bw         *bufio.Writer
+	state      connState
 	ctx        context.Context
 	cancel     context.CancelFunc
-
-	mu sync.Mutex
-	// active counts the requests whose responses are not written yet, and lastActive is
-	// when that was last above 0.
-	active     int
-	lastActive time.Time
-	// reading is set while a request head is being read.
-	reading bool
-	// closing is set once no further request may begin.
-	closing bool
-	// writingResponse is set while a response is being written.
-	writingResponse bool
-	// noInterim is set once a request came whose HTTP version has no interim
-	// responses.
+	// noInterim is set once a request came whose HTTP version has no interim responses.
 	noInterim bool
 }
 
-// headReader bounds the bytes and the lines that are read for one request head. If remaining
-// is negative, there is no bound.
-type headReader struct {
-	r                io.Reader
-	remaining, lines int
-	// heads has room for the heads that may exceed the read buffer at once, and holds is set
-	// while this one takes up room. The wait for room ends at deadline.
-	heads    chan struct{}
-	holds    bool
-	deadline time.Time
-	read     int
-}
-
-// errHeadTooLarge is returned by headReader when the bound is reached.
-var errHeadTooLarge = errors.New("the request head is too large")
-
-// begin bounds the head that is read next, until end.
-func (l *headReader) begin(maxBytes int, deadline time.Time) {
-	l.remaining, l.lines, l.read, l.deadline = maxBytes, maxHeadLines, 0, deadline
-}
-
-// waitForRoom returns an error if there is no room for a large head until the deadline.
-func (l *headReader) waitForRoom() error {
-	t := time.NewTimer(time.Until(l.deadline))
-	defer t.Stop()
-	select {
-	case l.heads <- struct{}{}:
-		l.holds = true
-		return nil
-	case <-t.C:
-		return os.ErrDeadlineExceeded
-	}
-}
-
-func (l *headReader) end() {
-	l.remaining = -1
-	if l.holds {
-		<-l.heads
-		l.holds = false
-	}
-}
-
-// Read implements io.Reader.
-func (l *headReader) Read(p []byte) (int, error) {
-	if l.remaining < 0 {
-		return l.r.Read(p)
-	}
-	if l.remaining == 0 || l.lines <= 0 {
-		return 0, errHeadTooLarge
-	}
-	if l.read >= bufferBytes && !l.holds {
-		if err := l.waitForRoom(); err != nil {
-			return 0, err
-		}
-	}
-	n, err := l.r.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
-	l.read += n
-	l.lines -= bytes.Count(p[:n], []byte{'\n'})
-	return n, err
-}
-
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{server: s, nc: nc, headReader: &headReader{r: nc, remaining: -1, heads: s.heads}, lastActive: time.Now()}
+	c := &conn{server: s, nc: nc, headReader: &headReader{r: nc, remaining: -1, heads: s.heads}}
+	c.state.shutdown, c.state.lastDue = &s.shutdown, time.Now()
 	c.br = bufio.NewReaderSize(c.headReader, bufferBytes)
 	c.bw = bufio.NewWriterSize(nc, bufferBytes)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -113,7 +37,6 @@
 // serve reads requests and starts their handlers until the connection ends.
 func (c *conn) serve() {
 	defer c.server.removeConn(c)
-	defer c.cancel()
 	turn := make(chan struct{})
 	close(turn)
 	for {
@@ -129,9 +52,10 @@
 				return
 			}
 		}
-		if !c.beginRequest() {
+		if !c.state.beginRequest(r.Close) {
 			// An earlier response closes the connection; this request is dropped.
 			ex.endEarly()
+			c.awaitResponses(turn)
 			return
 		}
 		go ex.run()
@@ -152,23 +76,23 @@
 // cannot be read after its first byte came.
 func (c *conn) readRequest() (*http.Request, error) {
 	bounds := c.server.bounds()
-	_ = c.nc.SetReadDeadline(time.Now().Add(bounds.IdleTimeout)) // A closed connection fails the read.
+	c.setReadDeadline(time.Now().Add(bounds.IdleTimeout))
 	if c.br.Buffered() == 0 {
 		if err := c.waitFirstByte(); err != nil {
 			return nil, err
 		}
 	}
-	c.setReading(true)
-	defer c.setReading(false)
+	c.state.setIncoming(true)
 	deadline := time.Now().Add(bounds.HeaderTimeout)
-	_ = c.nc.SetReadDeadline(deadline)
+	c.setReadDeadline(deadline)
 	c.headReader.begin(max(bounds.MaxHeaderBytes-c.br.Buffered(), 0)+headExtraBytes, deadline)
 	r, err := http.ReadRequest(c.br)
 	c.headReader.end()
 	if err != nil {
+		c.state.setIncoming(false)
 		return nil, &ErrHead{Err: err}
 	}
-	_ = c.nc.SetReadDeadline(time.Time{})
+	c.setReadDeadline(time.Time{})
 	r.RemoteAddr = c.nc.RemoteAddr().String()
 	c.noInterim = c.noInterim || !acceptsInterim(r)
 	return r, nil
@@ -180,144 +104,132 @@
 	for {
 		_, err := c.br.Peek(1)
 		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() && c.hasActive() {
-			_ = c.nc.SetReadDeadline(time.Now().Add(c.server.bounds().IdleTimeout))
+		if errors.As(err, &timeout) && timeout.Timeout() && c.state.dueCount() > 0 {
+			c.setReadDeadline(time.Now().Add(c.server.bounds().IdleTimeout))
 			continue
 		}
 		return err
 	}
 }
 
+// setReadDeadline bounds the next reads, unless the connection is lingering, whose bound
+// stays.
+func (c *conn) setReadDeadline(t time.Time) {
+	c.state.mu.Lock()
+	defer c.state.mu.Unlock()
+	if !c.state.lingering {
+		_ = c.nc.SetReadDeadline(t) // A closed connection fails the read.
+	}
+}
+
 // extendWriteDeadline must be called before each write, as the deadline of an earlier one may
 // have passed.
 func (c *conn) extendWriteDeadline() {
 	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) // A closed connection fails the write.
 }
 
-func (c *conn) hasActive() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.active > 0
-}
-
-// beginRequest adds a request to active. It returns false if the connection is
-// closing.
-func (c *conn) beginRequest() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closing {
-		return false
-	}
-	c.active++
-	return true
-}
-
-// endRequest removes a request from active.
-func (c *conn) endRequest() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.active--
-	c.lastActive = time.Now()
-}
-
-// idleSince returns since when the connection has been idle, and false if it is in use.
-func (c *conn) idleSince() (time.Time, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lastActive, c.active == 0 && !c.reading
-}
-
 // closeIfIdle closes the connection, unless it has come into use.
 func (c *conn) closeIfIdle() {
-	c.mu.Lock()
-	idle := c.active == 0 && !c.reading
-	c.closing = c.closing || idle
-	c.mu.Unlock()
-	if idle {
+	if c.state.closeIfIdle() {
 		c.abort()
 	}
 }
 
-func (c *conn) setReading(reading bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reading = reading
-}
-
-// setClosing prevents further requests from beginning.
-func (c *conn) setClosing() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closing = true
-}
-
 // abort closes the connection and cancels its requests.
 func (c *conn) abort() {
-	c.setClosing()
+	c.state.close()
 	c.cancel()
 	_ = c.nc.Close() // There is nobody to report an error to.
 }
 
+// cutOff is like abort, and counts the responses that are due, unless the caller is gone.
+func (c *conn) cutOff(callerGone bool) {
+	if !callerGone && c.ctx.Err() == nil {
+		c.server.cut.Add(int64(c.state.dueCount()))
+	}
+	c.abort()
+}
+
 // closeAfterResponse closes the connection after its last response. The caller may
 // still be sending. A close with unread bytes would reset the connection, and the
-// caller could lose the response; so only the write side is closed, and the reader
-// discards what comes for lingerTime.
+// caller could lose the response; so only the write side is closed, and the reading
+// goroutine discards what comes for lingerTime before it closes the connection.
 func (c *conn) closeAfterResponse() {
-	c.setClosing()
-	if t, ok := c.nc.(interface{ CloseWrite() error }); ok && t.CloseWrite() == nil {
-		_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
-		return // The reading goroutine closes the connection.
+	c.state.close()
+	if !c.beginLinger() {
+		_ = c.nc.Close()
 	}
-	_ = c.nc.Close()
 }
 
-// handleReadError ends the connection after a failed readRequest. If the head was
-// invalid, it writes an error response after the earlier responses.
-func (c *conn) handleReadError(err error, turn <-chan struct{}) {
-	var head *ErrHead
-	if !errors.As(err, &head) {
-		c.handleDisconnect(err, turn)
-		return
-	}
-	if status := head.status(); status != 0 {
-		select {
-		case <-turn:
-			c.setClosing()
-			c.extendWriteDeadline()
-			writeStatus(c.bw, status)
-		case <-c.ctx.Done():
-		}
-	}
-	c.linger()
+// beginLinger closes the write side and bounds the time of further reads. It returns false if
+// the connection has no sides that can be closed alone.
+func (c *conn) beginLinger() bool {
+	c.state.mu.Lock()
+	c.state.lingering = true
+	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime)) // A closed connection fails the read.
+	c.state.mu.Unlock()
+	t, ok := c.nc.(interface{ CloseWrite() error })
+	return ok && t.CloseWrite() == nil
+}
+
+// linger closes the write side, discards what the caller still sends for at most
+// lingerTime and lingerBytes, and closes the connection.
+func (c *conn) linger() {
+	c.beginLinger()
+	_, _ = io.CopyN(io.Discard, c.nc, lingerBytes) // The connection is closed below in any case.
+	c.abort()
 }
 
-// handleDisconnect ends a connection that brings no further request. A caller that
-// closed only its side for writing gets its responses first. The requests of one that
-// closed both sides are cancelled.
-func (c *conn) handleDisconnect(err error, turn <-chan struct{}) {
-	if c.isClosing() {
+// awaitResponses is called when no further request may begin. It discards what the caller still
+// sends until the responses that are due have been written, turn being closed by the last one.
+// A caller that disconnects before that cancels its requests.
+func (c *conn) awaitResponses(turn <-chan struct{}) {
+	c.setReadDeadline(time.Time{})
+	_, err := io.CopyN(io.Discard, c.nc, lingerBytes)
+	switch {
+	case err == nil: // The caller does not stop sending, and its bytes are left unread.
+		c.waitFor(turn)
 		c.linger()
-		return
-	}
-	if errors.Is(err, io.EOF) && !c.noInterim {
+	case errors.Is(err, io.EOF):
 		c.serveHalfClosed(turn)
 	}
 	c.abort()
 }
 
-func (c *conn) isClosing() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closing
+// waitFor waits until the last response that is due is written. It returns false if the
+// connection ends before that.
+func (c *conn) waitFor(turn <-chan struct{}) bool {
+	select {
+	case <-turn:
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
 }
 
-// linger closes the write side, discards what the caller still sends for at most
-// lingerTime and lingerBytes, and closes the connection.
-func (c *conn) linger() {
-	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
-	if t, ok := c.nc.(interface{ CloseWrite() error }); ok {
-		_ = t.CloseWrite() // The connection is closed below in any case.
+// handleReadError ends the connection after a failed readRequest. If the head was
+// invalid, it writes an error response after the earlier responses.
+func (c *conn) handleReadError(err error, turn <-chan struct{}) {
+	var head *ErrHead
+	switch {
+	case c.state.isClosing():
+		c.awaitResponses(turn)
+	case errors.As(err, &head) && head.status() != 0:
+		c.rejectHead(head.status(), turn)
+	case errors.As(err, &head):
+		c.linger()
+	case errors.Is(err, io.EOF) && !c.noInterim:
+		c.serveHalfClosed(turn)
 	}
-	_, _ = io.CopyN(io.Discard, c.nc, lingerBytes) // The connection is closed below in any case.
 	c.abort()
 }
+
+// rejectHead writes an error response after the earlier responses, unless one of them closes
+// the connection.
+func (c *conn) rejectHead(status int, turn <-chan struct{}) {
+	if c.waitFor(turn) && c.state.close() {
+		c.extendWriteDeadline()
+		writeStatus(c.bw, status)
+	}
+	c.linger()
+}
--- a/pkg/pipeliner/exchange.go
+++ b/pkg/pipeliner/exchange.go
@@ -43,8 +43,9 @@
 	responseStarted atomic.Bool
 	remaining       int64 // bytes of the declared length still to be written; negative if chunked
 	chunked         io.WriteCloser
-	closeAfter      bool
-	failed          bool
+	// closes is set if the connection closes after the response.
+	closes bool
+	failed bool
 	// early is set if the request began before the earlier responses were written.
 	early bool
 }
@@ -63,14 +64,7 @@
 
 // waitForTurn waits until the earlier responses are written. It returns false if the
 // connection ends before that.
-func (ex *exchange) waitForTurn() bool {
-	select {
-	case <-ex.turn:
-		return true
-	case <-ex.c.ctx.Done():
-		return false
-	}
-}
+func (ex *exchange) waitForTurn() bool { return ex.c.waitFor(ex.turn) }
 
 // startEarly reports whether the request may begin before the earlier responses are written,
 // as there is room for it, or has its turn.
@@ -99,16 +93,15 @@
 // run calls the handler and finishes the response.
 func (ex *exchange) run() {
 	defer close(ex.done)
-	defer ex.c.endRequest()
+	defer ex.c.state.endRequest()
 	defer ex.endEarly()
 	ctx, cancel := context.WithCancel(ex.c.ctx)
 	defer cancel()
-	ex.closeAfter = ex.r.Close
 	if !ex.handle(ctx) || !ex.finish() {
-		ex.c.abort()
+		ex.c.cutOff(ex.failed)
 		return
 	}
-	if ex.closeAfter {
+	if ex.closes {
 		ex.c.closeAfterResponse()
 	}
 }
@@ -149,11 +142,7 @@
 			return false
 		}
 	}
-	if ex.c.bw.Flush() != nil {
-		return false
-	}
-	ex.c.endResponse()
-	return true
+	return ex.c.bw.Flush() == nil
 }
 
 // Header implements http.ResponseWriter.
@@ -171,7 +160,7 @@
 		ex.failed = true
 		return
 	}
-	ex.c.beginResponse()
+	ex.setConnection()
 	ex.setFraming()
 	ex.c.extendWriteDeadline()
 	w := ex.c.bw
@@ -182,16 +171,18 @@
 	}
 }
 
-// setFraming sets how the end of the body is marked, and whether the connection closes
-// after it.
-func (ex *exchange) setFraming() {
-	if !ex.body.hasEnded() || ex.header.Get("Connection") == "close" {
-		ex.closeAfter = true
-	}
-	if ex.closeAfter {
-		ex.c.setClosing()
+// setConnection sets whether the connection closes after the response. That happens with the last
+// response that is due, also if an earlier one asked for it.
+func (ex *exchange) setConnection() {
+	stop := !ex.body.hasEnded() || ex.header.Get("Connection") == "close"
+	ex.header.Del("Connection")
+	if ex.closes = ex.c.state.beginResponse(stop); ex.closes {
 		ex.header.Set("Connection", "close")
 	}
+}
+
+// setFraming sets how the end of the body is marked.
+func (ex *exchange) setFraming() {
 	declared, err := strconv.ParseInt(ex.header.Get("Content-Length"), 10, 64)
 	switch {
 	case ex.r.Method == http.MethodHead || !hasBody(ex.status):
@@ -267,7 +258,7 @@
 	if ex.body.hasEnded() {
 		return true
 	}
-	ex.c.linger()
+	ex.c.linger() // The response has closed the connection.
 	return false
 }
 
--- a/pkg/pipeliner/halfclose.go
+++ b/pkg/pipeliner/halfclose.go
@@ -39,9 +39,9 @@
 // probe writes an interim response, unless a response is being written, whose writes
 // fail just as well. It reports whether the caller may still be connected.
 func (c *conn) probe() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.writingResponse || c.active == 0 {
+	c.state.mu.Lock()
+	defer c.state.mu.Unlock()
+	if c.state.writing || c.state.due == 0 {
 		return true
 	}
 	c.extendWriteDeadline()
@@ -49,20 +49,5 @@
 	return err == nil
 }
 
-// beginResponse stops interim responses, which must not come between the parts of a
-// response.
-func (c *conn) beginResponse() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writingResponse = true
-}
-
-// endResponse allows interim responses again, after a response is written whole.
-func (c *conn) endResponse() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writingResponse = false
-}
-
 // acceptsInterim reports whether a caller accepts interim responses.
 func acceptsInterim(r *http.Request) bool { return r.ProtoAtLeast(1, 1) }
--- a/pkg/pipeliner/pipeliner.go
+++ b/pkg/pipeliner/pipeliner.go
@@ -4,17 +4,23 @@
 // responses in the order of their requests. A caller that closes its connection cancels
 // its requests; one that closes only its side for writing still gets its responses.
 //
+// A response that closes the connection is always the last one that is due: no request
+// begins behind it, and each that has begun gets its response.
+//
 // A program creates a Server with New and calls Serve. To stop gracefully it calls
-// StopListening, Drain and Close.
+// DisableKeepAlives, DisablePipelining, Drain and Close, with pauses in which callers turn to
+// other servers.
 package pipeliner
 
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -81,6 +87,9 @@
 	cfg Config
 	// heads and early hold an element for each large head and each early request.
 	heads, early chan struct{}
+	shutdown     shutdown
+	// cut counts the responses that callers waited for when their connections were closed.
+	cut atomic.Int64
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -97,7 +106,7 @@
 	}
 }
 
-// Serve accepts connections from l until Close or StopListening is called, or until
+// Serve accepts connections from l until Close is called, or until
 // accepting fails for good. Errors that can pass, as when descriptors run out, only make it
 // pause. It may be called once.
 func (s *Server) Serve(l net.Listener) {
@@ -155,7 +164,7 @@
 	var idle []idleConn
 	s.mu.Lock()
 	for c := range s.conns {
-		if since, ok := c.idleSince(); ok {
+		if since, ok := c.state.idleSince(); ok {
 			idle = append(idle, idleConn{c, since})
 		}
 	}
@@ -184,9 +193,8 @@
 // Done is closed when Serve has returned.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
-// StopListening closes the listener. Open connections stay open and may bring further
-// requests.
-func (s *Server) StopListening() {
+// stopListening closes the listener.
+func (s *Server) stopListening() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.listener != nil {
@@ -194,13 +202,26 @@
 	}
 }
 
-// Drain waits until no request is in progress. It returns ctx's error if ctx ends
-// before that.
+// DisableKeepAlives makes each connection close with the first response behind which no other
+// one is due and no request is coming. It may be called at any time.
+func (s *Server) DisableKeepAlives() { s.shutdown.keepAlivesDisabled.Store(true) }
+
+// DisablePipelining makes each connection on which responses are due close with the last of them.
+// Requests that come behind them do not begin. It may be called at any time after
+// DisableKeepAlives, which does not close a connection that never pauses.
+func (s *Server) DisablePipelining() { s.shutdown.pipeliningDisabled.Store(true) }
+
+// Cut returns the number of requests whose connections were closed while the caller waited for
+// their responses.
+func (s *Server) Cut() int64 { return s.cut.Load() }
+
+// Drain waits until no request is in progress, and callers have closed the connections that are
+// to be closed. It returns ctx's error if ctx ends before that.
 func (s *Server) Drain(ctx context.Context) error {
 	const poll = 20 * time.Millisecond
 	t := time.NewTicker(poll)
 	defer t.Stop()
-	for s.Active() > 0 {
+	for s.isBusy() {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -212,29 +233,31 @@
 
 // Active returns the number of requests whose responses are not written yet.
 func (s *Server) Active() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	n := 0
-	for c := range s.conns {
-		c.mu.Lock()
-		n += c.active
-		c.mu.Unlock()
+	for _, c := range s.openConns() {
+		n += c.state.dueCount()
 	}
 	return n
 }
 
+func (s *Server) isBusy() bool {
+	return slices.ContainsFunc(s.openConns(), func(c *conn) bool { return c.state.isBusy() })
+}
+
+func (s *Server) openConns() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
 // Close closes the listener and all connections, and cancels their requests.
 func (s *Server) Close() {
-	s.StopListening()
+	s.stopListening()
 	s.mu.Lock()
 	s.stopped = true
-	open := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		open = append(open, c)
-	}
 	s.mu.Unlock()
-	for _, c := range open {
-		c.abort()
+	for _, c := range s.openConns() {
+		c.cutOff(false)
 	}
 }
 
--- a/service/callers/harness_test.go
+++ b/service/callers/harness_test.go
@@ -174,6 +174,7 @@
 		tg.Crash()
 	}
 	f.net.Kill(callerHost)
+	time.Sleep(time.Second) // net/http closes a connection some time after its last response
 }
 
 // Region implements peers.Directory.
--- a/service/gateway/handler.go
+++ b/service/gateway/handler.go
@@ -59,9 +59,8 @@
 
 // Handler forwards callers' requests to targets. It implements http.Handler.
 type Handler struct {
-	cfg        Config
-	closeConns atomic.Bool
-	rejecting  atomic.Bool
+	cfg       Config
+	rejecting atomic.Bool
 	// relayed counts the requests from other hosts that are in progress.
 	relayed  atomic.Int64
 	attestor attestor.Attestor
@@ -77,10 +76,6 @@
 	return &Handler{cfg: cfg}
 }
 
-// DisableKeepAlives makes the handler close each caller's connection after its next
-// response. It may be called at any time.
-func (h *Handler) DisableKeepAlives() { h.closeConns.Store(true) }
-
 // RejectRequests makes the handler respond to all new requests with status 503. It may
 // be called at any time.
 func (h *Handler) RejectRequests() { h.rejecting.Store(true) }
@@ -121,9 +116,6 @@
 func (h *Handler) handle(q *request) {
 	q.start, q.info = time.Now(), h.cfg.HeaderCodec.ReadRequest(q.r.Header)
 	q.record = Record{ID: q.info.ID, Object: q.info.Object}
-	if h.closeConns.Load() {
-		q.w.Header().Set("Connection", "close")
-	}
 	q.evidence = h.attestor.Open(attestor.NewKey(q.info.ID, q.r.Method, q.r.RequestURI, q.info.Key))
 	defer q.evidence.End()
 	rej := q.prepare()
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -294,9 +294,6 @@
 		header[name] = slices.Clone(values)
 	}
 	header.Del(headerRelayRefused) // only a host says that, of itself
-	if q.h.closeConns.Load() {
-		header.Set("Connection", "close")
-	}
 	q.record.Status = res.resp.StatusCode
 	header.Del("Content-Length")
 	switch {
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -48,6 +48,10 @@
 	// acceptDuration is how long a draining host accepts new requests, so that callers
 	// can look up other hosts in the meantime. At most half of the grace period is used.
 	acceptDuration = 2500 * time.Millisecond
+	// pipelineDuration is how long it accepts requests on connections on which others are in
+	// progress. Callers that never pause are then sent to other hosts. At most half of the time
+	// that it accepts requests is used.
+	pipelineDuration = time.Second
 	// exitMargin is the part of the grace period that is left for the process to exit.
 	exitMargin = 500 * time.Millisecond
 	// maxSavedRetries bounds the unused retries to a service that all hosts together
@@ -197,6 +201,7 @@
 	h.metrics.Gauge("siblings.bytes.region", traffic.InterZoneBytes.Load)
 	h.metrics.Gauge("siblings.bytes.far", traffic.InterRegionBytes.Load)
 	h.metrics.Gauge("memory.reservedBytes", h.memory.Used)
+	h.metrics.Gauge("callers.cutResponses", func() int64 { return h.server.Cut() })
 }
 
 // instances returns the hosts that accept callers.
@@ -350,8 +355,12 @@
 	deadline := time.Now().Add(grace)
 	h.draining.Store(true)
 	h.lister.SetSelf(h.cfg.Self, false)
-	h.handler.DisableKeepAlives()
-	time.Sleep(min(acceptDuration, grace/2))
+	h.server.DisableKeepAlives()
+	accept := min(acceptDuration, grace/2)
+	pipeline := min(pipelineDuration, accept/2)
+	time.Sleep(pipeline)
+	h.server.DisablePipelining()
+	time.Sleep(accept - pipeline)
 	h.handler.RejectRequests()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
@@ -362,7 +371,7 @@
 	h.background.Wait()
 	h.sender.Close()
 	h.relayer.sender.Close()
-	h.log.WithField("clean", err == nil).Info("stopped")
+	h.log.WithFields(log.Fields{"clean": err == nil, "cut": h.server.Cut()}).Info("stopped")
 }
 
 // Self returns the registration of this host.
