pkg/pipeliner: a caller that closes its side within a head gets the responses that are due

Callers saw: one that closed its side for writing between two lines of a further request's head read the end of the connection in place of the responses to the requests before it; a caller of HTTP/1.0 did so after any half-close.

Cause: handleReadError closed the connection at once if the head ended early, and for HTTP/1.0, which has no interim responses to probe the caller with.

TestHalfCloseWithinHead fails before this change in 3 of its 4 cases, "unexpected EOF".

Change: the end of the input is a half-close also within a head. A caller of HTTP/1.0 is not probed, and gets its response; the gateway refuses such requests at once, so none is worked on for a caller that is gone. Measured: all 4 cases hold.

--- a/pkg/pipeliner/conn.go
+++ b/pkg/pipeliner/conn.go
@@ -216,9 +216,7 @@
 		c.awaitResponses(turn)
 	case errors.As(err, &head) && head.status() != 0:
 		c.rejectHead(head.status(), turn)
-	case errors.As(err, &head):
-		c.linger()
-	case errors.Is(err, io.EOF) && !c.noInterim:
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		c.serveHalfClosed(turn)
 	}
 	c.abort()
--- a/pkg/pipeliner/halfclose.go
+++ b/pkg/pipeliner/halfclose.go
@@ -20,8 +20,13 @@
 // serveHalfClosed waits until the due responses are written, for a caller that closed
 // its side for writing. A caller that closed both sides looks the same until something
 // is written to it, upon which its host resets the connection. So serveHalfClosed
-// writes interim responses as probes, and returns as soon as one of them fails.
+// writes interim responses as probes, and returns as soon as one of them fails. Callers
+// whose HTTP version has no interim responses are not probed.
 func (c *conn) serveHalfClosed(turn <-chan struct{}) {
+	if c.noInterim {
+		c.waitFor(turn)
+		return
+	}
 	t := time.NewTimer(firstProbeDelay)
 	defer t.Stop()
 	for c.probe() {
