pkg/pipeliner: a handler that panics before its response takes no other requests along

Callers saw: the connection ended, with all requests in progress on it, if the handler of one of them panicked.

Cause: each panic closed the connection, also where no byte of a response was written.

Evidence: TestPanicLeavesOtherRequests fails before this change, "unexpected EOF".

Change: such a request gets status 500. Within a response the connection is closed as before, so that the response does not look complete. Measured: the test holds.

--- a/pkg/pipeliner/close_test.go
+++ b/pkg/pipeliner/close_test.go
@@ -249,6 +249,26 @@
 	}
 }
 
+// Guards against a handler that panics before its response and takes other requests along.
+func TestPanicLeavesOtherRequests(t *testing.T) {
+	is := is.New(t)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/2" {
+			panic("a fault of the handler")
+		}
+		_, _ = io.WriteString(w, r.URL.Path) // a failure shows in the response
+	})
+	withServer(t, pipeliner.Config{Handler: handler}, func(_ *pipeliner.Server, c *net.TCPConn) {
+		write(t, c, get("/1")+get("/2")+get("/3"))
+		br := bufio.NewReader(c)
+		for _, status := range []int{http.StatusOK, http.StatusInternalServerError, http.StatusOK} {
+			resp, _ := readResponse(t, br)
+			is.Equal(resp.StatusCode, status)
+			is.True(!resp.Close)
+		}
+	})
+}
+
 // Guards against a close that resets a connection whose caller is still sending, and so takes the
 // last response along.
 func TestDrainWaitsForCallersToClose(t *testing.T) {
--- a/pkg/pipeliner/exchange.go
+++ b/pkg/pipeliner/exchange.go
@@ -106,8 +106,8 @@
 	}
 }
 
-// handle calls the handler. It returns false if the handler panicked; the connection
-// must then be closed, so that the response does not look complete.
+// handle calls the handler. It returns false if the handler panicked within its response; the
+// connection must then be closed, so that the response does not look complete.
 func (ex *exchange) handle(ctx context.Context) (completed bool) {
 	defer func() {
 		switch v := recover(); v {
@@ -115,14 +115,25 @@
 		case http.ErrAbortHandler:
 			completed = false
 		default:
-			log.WithField("panic", fmt.Sprint(v)).WithField("stack", string(debug.Stack())).Error("handler panicked; closing the connection")
-			completed = false
+			log.WithField("panic", fmt.Sprint(v)).WithField("stack", string(debug.Stack())).Error("handler panicked")
+			completed = ex.fail()
 		}
 	}()
 	ex.c.server.cfg.Handler.ServeHTTP(ex, ex.r.WithContext(ctx))
 	return true
 }
 
+// fail responds with status 500, so that the other requests of the connection go on. It returns
+// false if a response has begun.
+func (ex *exchange) fail() bool {
+	if ex.status != 0 {
+		return false
+	}
+	ex.header = http.Header{"Content-Length": {"0"}}
+	ex.WriteHeader(http.StatusInternalServerError)
+	return true
+}
+
 // finish writes the rest of the response in its turn. It returns false if the response
 // is incomplete.
 func (ex *exchange) finish() bool {
