A request that outlasts the grace period takes no complete responses along

Callers saw: at the end of a host's grace period the connection ended on which a request was still in progress, with the complete responses behind it, which targets had given long before.

Cause: responses leave in order, and Stop closed the connections while the first one was due.

Change: at that moment, 0.5 s before the process must have exited, the requests in progress are cancelled, not their connections. Handlers respond, responses behind theirs follow, for 0.2 s at most. A handler that gives up without a response gives status 500, never an empty success. In the log such a request is "leaving", not "callerGone"; its status is 502, as no timeout has passed. Measured: TestCancelledRequestsLeaveOtherResponses (pkg/pipeliner), TestCancelledRequestIsAnswered (service/gateway) and the test above hold.

--- a/pkg/pipeliner/close_test.go
+++ b/pkg/pipeliner/close_test.go
@@ -269,6 +269,34 @@
 	})
 }
 
+// Guards against a request that does not end in the time to stop and takes along the complete
+// responses behind it. Its own must not look like a success.
+func TestCancelledRequestsLeaveOtherResponses(t *testing.T) {
+	is := is.New(t)
+	g := &gate{}
+	withServer(t, pipeliner.Config{Handler: g}, func(s *pipeliner.Server, c *net.TCPConn) {
+		write(t, c, get("/1")+get("/2"))
+		g.waitBegun(2)
+		g.open("/2")
+		s.DisableKeepAlives()
+		s.DisablePipelining()
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+		defer cancel()
+		is.True(s.Drain(ctx) != nil)
+		s.CancelRequests()
+		br := bufio.NewReader(c)
+		resp, _ := readResponse(t, br)
+		is.Equal(resp.StatusCode, http.StatusInternalServerError)
+		resp, body := readResponse(t, br)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.Equal(body, "/2")
+		is.True(resp.Close)
+		is.NoErr(c.Close())
+		is.NoErr(s.Drain(t.Context()))
+		is.Equal(s.Cut(), int64(0))
+	})
+}
+
 // Guards against a close that resets a connection whose caller is still sending, and so takes the
 // last response along.
 func TestDrainWaitsForCallersToClose(t *testing.T) {
--- a/pkg/pipeliner/conn.go
+++ b/pkg/pipeliner/conn.go
@@ -19,8 +19,12 @@
 	br         *bufio.Reader
 	bw         *bufio.Writer
 	state      connState
-	ctx        context.Context
-	cancel     context.CancelFunc
+	// ctx ends with the connection, and requests, the context of its requests, at the latest
+	// then.
+	ctx            context.Context
+	cancel         context.CancelFunc
+	requests       context.Context
+	cancelRequests context.CancelCauseFunc
 	// noInterim is set once a request came whose HTTP version has no interim responses.
 	noInterim bool
 }
@@ -31,6 +35,7 @@
 	c.br = bufio.NewReaderSize(c.headReader, bufferBytes)
 	c.bw = bufio.NewWriterSize(nc, bufferBytes)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.requests, c.cancelRequests = context.WithCancelCause(c.ctx)
 	return c
 }
 
--- a/pkg/pipeliner/exchange.go
+++ b/pkg/pipeliner/exchange.go
@@ -95,7 +95,7 @@
 	defer close(ex.done)
 	defer ex.c.state.endRequest()
 	defer ex.endEarly()
-	ctx, cancel := context.WithCancel(ex.c.ctx)
+	ctx, cancel := context.WithCancel(ex.c.requests)
 	defer cancel()
 	if !ex.handle(ctx) || !ex.finish() {
 		ex.c.cutOff(ex.failed)
@@ -137,7 +137,11 @@
 // finish writes the rest of the response in its turn. It returns false if the response
 // is incomplete.
 func (ex *exchange) finish() bool {
-	if ex.status == 0 {
+	switch {
+	case ex.status != 0:
+	case ex.c.requests.Err() != nil: // A handler that gave up must not look as if it had succeeded.
+		ex.fail()
+	default:
 		ex.header.Set("Content-Length", "0")
 		ex.WriteHeader(http.StatusOK)
 	}
--- a/pkg/pipeliner/pipeliner.go
+++ b/pkg/pipeliner/pipeliner.go
@@ -211,6 +211,17 @@
 // DisableKeepAlives, which does not close a connection that never pauses.
 func (s *Server) DisablePipelining() { s.shutdown.pipeliningDisabled.Store(true) }
 
+// ErrShutdown is the cause of the end of requests that CancelRequests cancels.
+var ErrShutdown = errors.New("pipeliner: the server is shutting down")
+
+// CancelRequests cancels the requests in progress. Their connections stay open, so that
+// handlers can still respond, and complete responses behind theirs reach the callers.
+func (s *Server) CancelRequests() {
+	for _, c := range s.openConns() {
+		c.cancelRequests(ErrShutdown)
+	}
+}
+
 // Cut returns the number of requests whose connections were closed while the caller waited for
 // their responses.
 func (s *Server) Cut() int64 { return s.cut.Load() }
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -119,8 +119,10 @@
 		res.reason = reasonLinkLost
 	case errors.Is(context.Cause(ctx), errOvertaken):
 		res.reason = reasonOvertaken
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(context.Cause(ctx), context.Canceled):
 		res.reason = "callerGone"
+	case errors.Is(ctx.Err(), context.Canceled):
+		res.reason = reasonLeaving
 	case ctx.Err() != nil:
 		res.reason = "timeout"
 		res.outcome.Failed = wrote
--- a/service/gateway/handler.go
+++ b/service/gateway/handler.go
@@ -327,7 +327,7 @@
 	if status := q.evidence.Status(rej.status); status != rej.status {
 		rej = &rejection{status: status, reason: rej.reason}
 	}
-	if errors.Is(q.r.Context().Err(), context.Canceled) {
+	if errors.Is(context.Cause(q.r.Context()), context.Canceled) {
 		q.record.CallerGone = true
 	}
 	header := q.w.Header()
--- a/service/gateway/serve.go
+++ b/service/gateway/serve.go
@@ -339,7 +339,7 @@
 	case notRun:
 		rej.status = http.StatusServiceUnavailable
 		rej.retryAfter = wait
-	case ctx.Err() != nil:
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		rej.status = http.StatusGatewayTimeout
 	}
 	q.reject(rej)
--- /dev/null
+++ b/service/gateway/stop_test.go
@@ -0,0 +1,31 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gypsumbeam.example/gypsumbeam/service/gateway"
+)
+
+// Guards against a host that, at the end of its time to stop, leaves callers without an answer, or
+// takes them for gone. An answer must not say that a request did not run that was sent.
+func TestCancelledRequestIsAnswered(t *testing.T) {
+	withHandler(t, []reply{hang()}, func(env *environment, h *gateway.Handler) {
+		is := is.New(t)
+		r := httptest.NewRequest(http.MethodGet, "/read/1", http.NoBody)
+		r.Host, r.Header = "h", http.Header{"Id": {"id-1"}, "Key": {"k"}}
+		ctx, cancel := context.WithCancelCause(context.Background())
+		time.AfterFunc(100*time.Millisecond, func() { cancel(errors.New("the server is shutting down")) })
+		rec := httptest.NewRecorder()
+		h.ServeHTTP(rec, r.WithContext(ctx))
+		is.Equal(rec.Code, http.StatusBadGateway)
+		is.Equal(env.records[0].Reason, "leaving")
+		is.True(!env.records[0].CallerGone)
+	})
+}
--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -54,6 +54,9 @@
 	pipelineDuration = time.Second
 	// exitMargin is the part of the grace period that is left for the process to exit.
 	exitMargin = 500 * time.Millisecond
+	// finalDuration is the part of exitMargin in which callers get the responses of requests that
+	// were cancelled at the end of the grace period, and those behind them.
+	finalDuration = 200 * time.Millisecond
 	// maxSavedRetries bounds the unused retries to a service that all hosts together
 	// save up.
 	maxSavedRetries = 40
@@ -348,7 +351,7 @@
 
 // Stop shuts the host down gracefully and returns when it is done: callers are sent to
 // other hosts, requests in progress are finished, and those still running at the end of
-// the grace period are aborted. It may be called once, after Start.
+// the grace period are cancelled. It may be called once, after Start.
 func (h *Host) Stop() {
 	h.log.Info("leaving")
 	grace := h.bounds.Load().GracePeriod - exitMargin
@@ -362,9 +365,7 @@
 	h.server.DisablePipelining()
 	time.Sleep(accept - pipeline)
 	h.handler.RejectRequests()
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	err := errors.Join(h.server.Drain(ctx), h.handler.DrainRelayed(ctx))
+	err := h.drain(deadline)
 	h.server.Close()
 	h.cancel()
 	_ = h.cfg.Conn.Close() // the process exits next
@@ -374,6 +375,22 @@
 	h.log.WithFields(log.Fields{"clean": err == nil, "cut": h.server.Cut()}).Info("stopped")
 }
 
+// drain waits until no request is in progress. It cancels those that still are at deadline, and
+// returns an error then.
+func (h *Host) drain(deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	err := errors.Join(h.server.Drain(ctx), h.handler.DrainRelayed(ctx))
+	if err == nil {
+		return nil
+	}
+	h.server.CancelRequests()
+	ctx, cancelFinal := context.WithTimeout(context.Background(), finalDuration)
+	defer cancelFinal()
+	_ = h.server.Drain(ctx) // what is left is counted as cut
+	return err
+}
+
 // Self returns the registration of this host.
 func (h *Host) Self() lister.Host { return h.cfg.Self }
 
--- a/service/gatewayhost/stop_test.go
+++ b/service/gatewayhost/stop_test.go
@@ -30,9 +30,11 @@
 	return &pipeliningCaller{is: is.New(fl.t), conn: conn, br: bufio.NewReader(conn)}
 }
 
-func (c *pipeliningCaller) send() {
+// send sends a request whose answer is on its way for a time.
+func (c *pipeliningCaller) send(delivery time.Duration) {
 	c.sent++
-	_, err := fmt.Fprintf(c.conn, "GET /%d HTTP/1.1\r\nHost: h.example\r\nId: %s-%d\r\n\r\n", c.sent, c.conn.LocalAddr(), c.sent)
+	_, err := fmt.Fprintf(c.conn, "GET /%d HTTP/1.1\r\nHost: h.example\r\nId: %s-%d\r\n%s: %v\r\n\r\n",
+		c.sent, c.conn.LocalAddr(), c.sent, deliveryHeader, delivery)
 	c.is.NoErr(err)
 }
 
@@ -53,7 +55,7 @@
 		h := fl.hosts[0]
 		early, late := fl.connect(h), fl.connect(h)
 		for _, c := range []*pipeliningCaller{early, late} {
-			c.send()
+			c.send(0)
 			status, closes := c.receive()
 			is.Equal(status, http.StatusOK)
 			is.True(!closes)
@@ -61,12 +63,12 @@
 		fl.callers.Go(h.host.Stop)
 		fl.hosts = nil // it is stopped once
 		time.Sleep(100 * time.Millisecond)
-		early.send()
+		early.send(0)
 		status, closes := early.receive()
 		is.Equal(status, http.StatusOK)
 		is.True(closes)
 		time.Sleep(800 * time.Millisecond) // half of the grace period without its margin is over
-		late.send()
+		late.send(0)
 		status, closes = late.receive()
 		is.Equal(status, http.StatusServiceUnavailable)
 		is.True(closes)
@@ -82,7 +84,7 @@
 		c := fl.connect(h)
 		const inProgress = 3
 		for range inProgress {
-			c.send()
+			c.send(0)
 		}
 		stopping := time.Now()
 		fl.callers.Go(h.host.Stop)
@@ -92,9 +94,33 @@
 			var status int
 			status, closes = c.receive()
 			is.Equal(status, http.StatusOK)
-			c.send()
+			c.send(0)
 		}
 		is.True(time.Since(stopping) < time.Second)
 		is.Equal(len(fl.targets[0].arrivals), answered) // what the target got is answered
 	})
 }
+
+// Guards against a request that outlasts the grace period and takes along complete responses behind
+// it.
+func TestStoppingHostAnswersBehindLongRequest(t *testing.T) {
+	withFleet(t, 1, 1, func(fl *fleet) {
+		is := is.New(fl.t)
+		h := fl.hosts[0]
+		c := fl.connect(h)
+		const long = 10 * time.Second
+		c.send(long)
+		c.send(0)
+		stopping := time.Now()
+		fl.callers.Go(h.host.Stop)
+		fl.hosts = nil // it is stopped once
+		status, closes := c.receive()
+		is.Equal(status, http.StatusBadGateway)
+		is.True(!closes)
+		status, closes = c.receive()
+		is.Equal(status, http.StatusOK)
+		is.True(closes)
+		is.True(time.Since(stopping) < 2*time.Second) // the grace period
+		time.Sleep(long)                              // for the target
+	})
+}
