service/gateway: a stop waits until responses to other hosts' requests are written

Callers would see a 502, or a second send, if a host that relays for another one stops while the other host, or its caller, reads the end of a response slowly: DrainRelayed looked at the handlers, the last bytes of a response are written after them.

--- a/service/gateway/relay.go
+++ b/service/gateway/relay.go
@@ -38,10 +38,12 @@
 		h.relayed.Add(1)
 		defer h.relayed.Add(-1)
 		h.handle(&request{h: h, w: w, r: r, fromHost: true, maxSends: sends})
+		_ = http.NewResponseController(w).Flush() // a failure means that the other host is gone
 	})
 }
 
-// DrainRelayed waits until no request of another host is in progress, or ctx ends.
+// DrainRelayed waits until no request of another host is in progress, and their responses are
+// written, or until ctx ends.
 func (h *Handler) DrainRelayed(ctx context.Context) error {
 	const poll = 20 * time.Millisecond
 	for h.relayed.Load() > 0 {
