pkg/pipeliner: interim responses are written in one place, under the lock of the state

A request's body is read in another goroutine than the one that writes its response. Between the check that the response had not begun and the write of "100 Continue" it could begin, so that the interim response would come within it. The probe of half-closed callers had the right lock already, both use it now.

--- a/pkg/pipeliner/exchange.go
+++ b/pkg/pipeliner/exchange.go
@@ -321,8 +321,10 @@
 	if b.ex.responseStarted.Load() {
 		return ErrBodyLength // The response has begun; an interim one cannot follow.
 	}
-	b.ex.c.extendWriteDeadline()
-	_, err := b.ex.c.nc.Write(continueResponse)
+	written, err := b.ex.c.writeInterim()
+	if err == nil && !written {
+		return ErrBodyLength // It has begun since.
+	}
 	return err
 }
 
--- a/pkg/pipeliner/halfclose.go
+++ b/pkg/pipeliner/halfclose.go
@@ -44,14 +44,20 @@
 // probe writes an interim response, unless a response is being written, whose writes
 // fail just as well. It reports whether the caller may still be connected.
 func (c *conn) probe() bool {
+	_, err := c.writeInterim()
+	return err == nil
+}
+
+// writeInterim writes an interim response if a response is due and none is being written.
+func (c *conn) writeInterim() (written bool, err error) {
 	c.state.mu.Lock()
 	defer c.state.mu.Unlock()
 	if c.state.writing || c.state.due == 0 {
-		return true
+		return false, nil
 	}
 	c.extendWriteDeadline()
-	_, err := c.nc.Write(continueResponse)
-	return err == nil
+	_, err = c.nc.Write(continueResponse)
+	return true, err
 }
 
 // acceptsInterim reports whether a caller accepts interim responses.
