service/targets: a send that was given up is reset, and does not arrive later

Cause: the bytes of a send behind a cut stay in the socket when the connection is closed in the ordinary way, and the kernel delivers them once the cut ends. The same for hedges that lost, callers that left, health checks, relays and the end of a stop, which use the same Sender.

Ruled out: sends after the evacuation was known.

Change: Close resets a connection whose request has no whole response and whose context has ended, or that is abandoned; all others are closed as before. Sender.Close resets what is in progress. In-memory connections know SetLinger.

--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -25,6 +26,8 @@
 	remote     string
 	remoteAddr net.Addr
 	r, w       *stream
+	// resets is set if Close resets the connection.
+	resets atomic.Bool
 }
 
 // Read implements net.Conn.
@@ -40,8 +43,19 @@
 	return n, err
 }
 
+// SetLinger makes Close reset the connection if sec is 0, as that of net.TCPConn does: data that has
+// not arrived is lost.
+func (c *conn) SetLinger(sec int) error {
+	c.resets.Store(sec == 0)
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	if c.resets.Load() {
+		c.abort()
+		return nil
+	}
 	c.r.closeRead()
 	c.w.closeWrite()
 	c.unregister()
--- a/service/targets/body.go
+++ b/service/targets/body.go
@@ -31,10 +31,14 @@
 func (ct *connTracker) wrapBody(resp *http.Response, t *transport) {
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
-	if ct.conn != nil {
-		untilClose := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-		resp.Body = &responseBody{ReadCloser: resp.Body, tracker: ct, conn: ct.conn, transport: t, untilClose: untilClose}
+	if ct.conn == nil {
+		return
 	}
+	if resp.Body == http.NoBody {
+		ct.conn.setAnswered(ct)
+	}
+	untilClose := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	resp.Body = &responseBody{ReadCloser: resp.Body, tracker: ct, conn: ct.conn, transport: t, untilClose: untilClose}
 }
 
 // Read implements io.Reader. If the body ends with its connection, it returns io.EOF only if
@@ -42,12 +46,16 @@
 // that follows sees an orderly end.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if b.untilClose && errors.Is(err, io.EOF) {
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if b.untilClose {
 		b.truncated = b.truncated || !b.requestWritten()
 		if b.truncated {
 			return n, io.ErrUnexpectedEOF
 		}
 	}
+	b.conn.setAnswered(b.tracker)
 	return n, err
 }
 
@@ -65,6 +73,6 @@
 // CloseConnection closes the connection of the response. It also closes the target's
 // idle connections, as net/http would still reuse this one.
 func (b *responseBody) CloseConnection() {
-	_ = b.conn.Close() // it is unusable even if closing it fails
+	_ = b.conn.abandon() // it is unusable even if closing it fails
 	b.transport.CloseIdleConnections()
 }
--- a/service/targets/conn.go
+++ b/service/targets/conn.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -17,10 +18,14 @@
 const blankLine = "\r\n\r\n"
 
 // countedConn counts the attempted writes, tracks how much of a request was written, and
-// can reject further writes.
+// can reject further writes. A request that is given up ends with the connection: Close resets
+// it then, as the kernel would otherwise go on to deliver what the target has not received yet.
 type countedConn struct {
 	net.Conn
 	rejectWrites atomic.Bool
+	// onClose is called once when the connection is closed.
+	onClose func()
+	closed  sync.Once
 
 	mu sync.Mutex
 	// attempted counts the writes, and ended those that have returned.
@@ -30,6 +35,46 @@
 	// bodyBytes how many bytes after it.
 	matched   int
 	bodyBytes int64
+	// unanswered is the request to which no whole response has been read, nil if there is none.
+	// abandoned is set if no response is wanted any more.
+	unanswered *connTracker
+	abandoned  bool
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.closed.Do(func() {
+		if t, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && c.isGivenUp() {
+			_ = t.SetLinger(0) // it fails if the connection is closed
+		}
+		c.onClose()
+	})
+	return c.Conn.Close()
+}
+
+// abandon closes the connection, and gives up its request, if there is one.
+func (c *countedConn) abandon() error {
+	c.mu.Lock()
+	c.abandoned = true
+	c.mu.Unlock()
+	return c.Close()
+}
+
+// isGivenUp reports whether there is a request whose response is not wanted any more.
+func (c *countedConn) isGivenUp() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unanswered != nil && (c.abandoned || c.unanswered.ctx.Err() != nil)
+}
+
+// setAnswered takes in that the response to a request has been read whole. The next request may
+// have begun.
+func (c *countedConn) setAnswered(ct *connTracker) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unanswered == ct {
+		c.unanswered = nil
+	}
 }
 
 // Write counts before it writes, so that a failed write counts too. It fails with
@@ -70,10 +115,11 @@
 }
 
 // begin prepares for the next request. It returns the number of attempted writes.
-func (c *countedConn) begin() uint64 {
+func (c *countedConn) begin(ct *connTracker) uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.matched, c.bodyBytes = 0, 0
+	c.unanswered = ct
 	return c.attempted
 }
 
@@ -88,6 +134,8 @@
 // connection breaks, net/http retries a request that has an Idempotency-Key;
 // connTracker allows that only if nothing was written yet.
 type connTracker struct {
+	// ctx is the context of the request.
+	ctx context.Context
 	// length is the length of the request's body, or -1 if it is not known.
 	length int64
 
@@ -102,15 +150,16 @@
 }
 
 // newConnTracker returns a connTracker for the request.
-func newConnTracker(r *http.Request) *connTracker {
+func newConnTracker(ctx context.Context, r *http.Request) *connTracker {
+	ct := &connTracker{ctx: ctx}
 	switch {
 	case r.Body == nil || r.Body == http.NoBody:
-		return &connTracker{}
 	case r.ContentLength == 0:
-		return &connTracker{length: -1} // net/http takes a length of 0 for unknown
+		ct.length = -1 // net/http takes a length of 0 for unknown
 	default:
-		return &connTracker{length: r.ContentLength}
+		ct.length = r.ContentLength
 	}
+	return ct
 }
 
 // gotConn is the httptrace hook that is called before the request is written to a
@@ -127,7 +176,7 @@
 		return
 	}
 	ct.conn = next
-	ct.writesBefore = next.begin()
+	ct.writesBefore = next.begin(ct)
 	ct.reused = info.Reused
 }
 
--- a/service/targets/sender.go
+++ b/service/targets/sender.go
@@ -7,9 +7,11 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -65,6 +67,10 @@
 	// connLimits holds the maximum number of connections to each configured address.
 	connLimits map[string]int
 	transports map[string]*transport
+
+	// connsMu guards conns, the open connections. It may be locked while mu is.
+	connsMu sync.Mutex
+	conns   map[*countedConn]struct{}
 }
 
 // transport is the connection pool of one target.
@@ -98,7 +104,7 @@
 	if cfg.Dial == nil {
 		cfg.Dial = dialTCP
 	}
-	return &Sender{cfg: cfg, transports: make(map[string]*transport)}
+	return &Sender{cfg: cfg, transports: make(map[string]*transport), conns: make(map[*countedConn]struct{})}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -174,7 +180,21 @@
 	if s.cfg.OnConnect != nil {
 		s.cfg.OnConnect(address, time.Since(start))
 	}
-	return &countedConn{Conn: c}, nil
+	return s.add(c), nil
+}
+
+// add keeps a connection until it is closed.
+func (s *Sender) add(nc net.Conn) *countedConn {
+	c := &countedConn{Conn: nc}
+	c.onClose = func() {
+		s.connsMu.Lock()
+		defer s.connsMu.Unlock()
+		delete(s.conns, c)
+	}
+	s.connsMu.Lock()
+	defer s.connsMu.Unlock()
+	s.conns[c] = struct{}{}
+	return c
 }
 
 // Refuses reports whether nothing listens at the address of a target, as after a crash. It
@@ -215,11 +235,12 @@
 //
 // The header of r must contain no keys and no hop-by-hop fields. Send sets
 // HeaderTimeout to the time remaining until ctx's deadline, unless OmitTimeout is set.
-// When ctx ends, the connection is closed, which tells the target that it may stop. The
+// When ctx ends before the response has been read whole, the connection is reset: the target is
+// told that it may stop, and what it has not received does not reach it later. The
 // body of the response has a method CloseConnection, to be called if the response
 // belongs to another request.
 func (s *Sender) Send(ctx context.Context, address string, r *http.Request) (*http.Response, Trace, error) {
-	tracker := newConnTracker(r)
+	tracker := newConnTracker(ctx, r)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.gotConn, WroteRequest: tracker.wroteRequest})
 	trailer := r.Trailer
 	r = r.Clone(ctx)
@@ -240,11 +261,12 @@
 	return resp, tracker.trace(), err
 }
 
-// Close closes the idle connections.
+// Close closes all connections. Those of requests in progress are reset.
 func (s *Sender) Close() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, t := range s.transports {
-		t.CloseIdleConnections()
+	s.connsMu.Lock()
+	conns := slices.Collect(maps.Keys(s.conns))
+	s.connsMu.Unlock()
+	for _, c := range conns {
+		_ = c.abandon() // it may be closed already
 	}
 }
