A response that is broken off takes no requests along that are behind it

Cause: a response of over 64 KiB is passed on before it has come whole, while requests behind it have begun; broken off, it can only be told by the close of the connection.

Change: before a handler passes on a response that it does not have whole, it asks the connection. If requests have begun behind, the response is read whole first, up to 1 MiB and as memory allows, and is sent again if it breaks off, as short ones are. If none have, none begins until it is written.

--- a/pkg/pipeliner/close_test.go
+++ b/pkg/pipeliner/close_test.go
@@ -329,3 +329,39 @@
 		is.Equal(s.Cut(), int64(2))
 	})
 }
+
+// Guards against requests that begin behind a response that may be broken off, and against such a
+// response that is not told of those that had begun.
+func TestHeldPipeline(t *testing.T) {
+	is := is.New(t)
+	type holder interface {
+		HoldPipeline() bool
+		ReleasePipeline()
+	}
+	g := &gate{}
+	behind, release := make(chan bool, 1), make(chan struct{})
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			g.waitBegun(1) // the second one
+			h, _ := w.(holder)
+			behind <- h.HoldPipeline()
+			<-release
+			h.ReleasePipeline()
+		}
+		g.ServeHTTP(w, r)
+	})
+	withServer(t, pipeliner.Config{Handler: handler}, func(_ *pipeliner.Server, c *net.TCPConn) {
+		write(t, c, get("/1")+get("/2"))
+		is.True(<-behind)
+		write(t, c, get("/3"))
+		time.Sleep(20 * time.Millisecond) // it has come
+		is.Equal(g.began.Load(), int64(1))
+		close(release)
+		br := bufio.NewReader(c)
+		for _, path := range []string{"/1", "/2", "/3"} {
+			g.open(path)
+			_, body := readResponse(t, br)
+			is.Equal(body, path)
+		}
+	})
+}
--- a/pkg/pipeliner/conn.go
+++ b/pkg/pipeliner/conn.go
@@ -52,14 +52,7 @@
 		}
 		done := make(chan struct{})
 		ex := newExchange(c, r, turn, done)
-		if !mayRunEarly(r) || !ex.startEarly() {
-			if !ex.waitForTurn() {
-				return
-			}
-		}
-		if !c.state.beginRequest(r.Close) {
-			// An earlier response closes the connection; this request is dropped.
-			ex.endEarly()
+		if !c.begin(ex) {
 			c.awaitResponses(turn)
 			return
 		}
@@ -71,6 +64,29 @@
 	}
 }
 
+// begin waits until the request may begin. It returns false if an earlier response closes the
+// connection, or the connection has ended: the request is dropped.
+func (c *conn) begin(ex *exchange) bool {
+	early := mayRunEarly(ex.r) && ex.startEarly()
+	for {
+		if !early && !ex.waitForTurn() {
+			return false
+		}
+		a, number := c.state.beginRequest(ex.r.Close)
+		if a == begun {
+			ex.number = number
+			return true
+		}
+		if early {
+			ex.endEarly()
+		}
+		if a == dropped {
+			return false
+		}
+		early = false
+	}
+}
+
 // mayRunEarly reports whether a request may be handled before the earlier responses
 // are written.
 func mayRunEarly(r *http.Request) bool {
--- a/pkg/pipeliner/connstate.go
+++ b/pkg/pipeliner/connstate.go
@@ -35,6 +35,9 @@
 	writing bool
 	// lingering is set once the connection is closed for writing.
 	lingering bool
+	// begun counts the requests that have begun, and holds those whose responses may still be
+	// broken off.
+	begun, holds int
 }
 
 // setIncoming takes in that the head of a request is being read, or that it is not any more.
@@ -44,21 +47,54 @@
 	s.incoming = incoming
 }
 
-// beginRequest makes the incoming request due. It returns false if the request must not begin,
-// as an earlier response closes the connection. If last is set, no request begins behind it.
-func (s *connState) beginRequest(last bool) bool {
+// admission is the answer to a request that is to begin.
+type admission int
+
+const (
+	// begun means that the request has begun, and is due.
+	begun admission = iota
+	// delayed means that the request must not begin before the earlier responses are written.
+	delayed
+	// dropped means that the request must not begin, as an earlier response closes the connection.
+	dropped
+)
+
+// beginRequest decides whether the incoming request begins. If last is set, no request begins
+// behind it. It returns the number of requests that have begun.
+func (s *connState) beginRequest(last bool) (a admission, number int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.incoming = false
 	if s.shutdown.pipeliningDisabled.Load() && s.unstarted() {
 		s.closing = true
 	}
-	if s.closing {
-		return false
+	switch {
+	case s.closing:
+		s.incoming = false
+		return dropped, s.begun
+	case s.holds > 0 && s.due > 0:
+		return delayed, s.begun
 	}
+	s.incoming = false
 	s.due++
+	s.begun++
 	s.closing = last
-	return true
+	return begun, s.begun
+}
+
+// hold keeps further requests from beginning while responses are due, until release. It reports
+// whether requests have begun behind the one with a number.
+func (s *connState) hold(number int) (behind bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holds++
+	return s.begun > number
+}
+
+// release ends a hold.
+func (s *connState) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holds--
 }
 
 // unstarted reports whether a response is due whose header can still announce the close.
--- a/pkg/pipeliner/exchange.go
+++ b/pkg/pipeliner/exchange.go
@@ -48,6 +48,10 @@
 	failed bool
 	// early is set if the request began before the earlier responses were written.
 	early bool
+	// number is the number of the request on its connection.
+	number int
+	// holding is set while the pipeline is held.
+	holding atomic.Bool
 }
 
 func newExchange(c *conn, r *http.Request, turn <-chan struct{}, done chan struct{}) *exchange {
@@ -86,14 +90,35 @@
 // endEarly makes room for another request to begin early.
 func (ex *exchange) endEarly() {
 	if ex.early {
+		ex.early = false
 		<-ex.c.server.early
 	}
 }
 
+// HoldPipeline is to be called before a response begins that may be broken off, which closes the
+// connection. It keeps further requests of the connection from beginning until ReleasePipeline is
+// called or the response is written, and reports whether some have begun behind this one. It may be
+// called again, also concurrently.
+func (ex *exchange) HoldPipeline() (behind bool) {
+	behind = ex.c.state.hold(ex.number)
+	if ex.holding.Swap(true) {
+		ex.c.state.release() // it was held already
+	}
+	return behind
+}
+
+// ReleasePipeline is to be called once the response is whole.
+func (ex *exchange) ReleasePipeline() {
+	if ex.holding.Swap(false) {
+		ex.c.state.release()
+	}
+}
+
 // run calls the handler and finishes the response.
 func (ex *exchange) run() {
 	defer close(ex.done)
 	defer ex.c.state.endRequest()
+	defer ex.ReleasePipeline()
 	defer ex.endEarly()
 	ctx, cancel := context.WithCancel(ex.c.requests)
 	defer cancel()
--- a/pkg/pipeliner/pipeliner.go
+++ b/pkg/pipeliner/pipeliner.go
@@ -5,7 +5,9 @@
 // its requests; one that closes only its side for writing still gets its responses.
 //
 // A response that closes the connection is always the last one that is due: no request
-// begins behind it, and each that has begun gets its response.
+// begins behind it, and each that has begun gets its response. Only a response that is broken off
+// takes along those behind it; its handler can prevent that by the methods HoldPipeline and
+// ReleasePipeline of its http.ResponseWriter.
 //
 // A program creates a Server with New and calls Serve. To stop gracefully it calls
 // DisableKeepAlives, DisablePipelining, Drain and Close, with pauses in which callers turn to
--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -11,7 +11,12 @@
 
 // maxBufferedBytes is the longest response body that is read completely before it
 // is passed on, so that the request can be retried if the response is truncated.
-const maxBufferedBytes = 64 << 10
+// maxPipelinedBytes is the same for a response behind which others are due, which would be lost
+// with it.
+const (
+	maxBufferedBytes  = 64 << 10
+	maxPipelinedBytes = 1 << 20
+)
 
 // exchange sends r to a target and classifies the response. A response is passed on only
 // if it provably belongs to this request: a successful one needs the target's stamp and
@@ -83,18 +88,20 @@
 	}
 }
 
-// readBody reads the body of a response of up to maxBufferedBytes; longer ones,
-// and those that the host has no memory for, are streamed.
+// readBody reads the body of a response of up to maxBufferedBytes, or up to maxPipelinedBytes;
+// longer ones, and those that the host has no memory for, are streamed.
 func (q *request) readBody(res *result) *result {
 	res.reason = "answered"
 	res.outcome.Answered = res.resp.StatusCode < http.StatusInternalServerError
 	res.outcome.Failed = !res.outcome.Answered
 	res.usable = true
-	if res.resp.ContentLength > maxBufferedBytes {
-		res.stream = true
-		return res
+	more, err := res.resp.ContentLength > maxBufferedBytes, error(nil)
+	if !more {
+		more, err = q.bufferBody(res, maxBufferedBytes)
+	}
+	if more && err == nil {
+		more, err = q.bufferPipelined(res)
 	}
-	more, err := q.bufferBody(res)
 	res.outcome.ResponseKiB = float64(len(res.body)) / 1024
 	switch {
 	case err != nil:
--- a/service/gateway/memory.go
+++ b/service/gateway/memory.go
@@ -183,10 +183,10 @@
 func (p *progress) passedOver() bool { return p.last != nil && p.last.reason == reasonTargetFull }
 
 // bufferBody reads the body of a response into res.body. It returns more if it stops before
-// the end of the body, after maxBufferedBytes or as the host has no memory for more.
-func (q *request) bufferBody(res *result) (more bool, err error) {
+// the end of the body, after limit bytes or as the host has no memory for more.
+func (q *request) bufferBody(res *result, limit int) (more bool, err error) {
 	for {
-		if len(res.body) == cap(res.body) && !q.growBuffer(res) {
+		if len(res.body) == cap(res.body) && !q.growBuffer(res, limit) {
 			return true, nil
 		}
 		n, err := res.resp.Body.Read(res.body[len(res.body):cap(res.body)])
@@ -201,10 +201,10 @@
 }
 
 // growBuffer makes room for at least one more byte in res.body. It returns false if that
-// has its greatest size, or the host has no memory for more.
-func (q *request) growBuffer(res *result) bool {
-	// One byte more than maxBufferedBytes shows whether a body of that length has ended.
-	size := min(max(2*cap(res.body), firstBufferBytes), maxBufferedBytes+1)
+// has room for more than limit bytes, or the host has no memory for more.
+func (q *request) growBuffer(res *result, limit int) bool {
+	// One byte more than limit shows whether a body of that length has ended.
+	size := min(max(2*cap(res.body), firstBufferBytes), limit+1)
 	added := int64(size - cap(res.body))
 	if added == 0 || !q.memory.reserve(added) {
 		return false
