pkg/throttler: what a group admits is counted while its report is overdue or its reporter changes

Workspaces got up to twice their rate for some seconds while hosts of a large fleet restarted in series; others that share the targets, less.

Cause: hosts subtract what others admit when they hear of it. While the leader of a zone changes nobody reports on it for a second or so, and buckets fill at the whole rate; the first report of the next leader was then taken for a new beginning, as its counts start elsewhere, and the zone's demand was forgotten.

Change: a group whose report is overdue goes on at the rate of its last reports, until it no longer counts as reachable. Another host that reports on it takes over that estimate and the demand.

--- a/pkg/throttler/demand.go
+++ b/pkg/throttler/demand.go
@@ -40,7 +40,7 @@
 func (t *Throttler) demandBucket(hash WorkspaceHash, now time.Time) *bucket {
 	b := t.buckets[hash]
 	if b == nil {
-		b = &bucket{at: now, remoteUsage: make(map[ids.HostGroup]*Usage)}
+		b = &bucket{at: now, remoteUsage: make(map[ids.HostGroup]*groupUsage)}
 		if t.buckets == nil {
 			t.buckets = make(map[WorkspaceHash]*bucket)
 		}
--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -120,7 +120,7 @@
 	// allowance is the number of requests that this host may admit while tokens are
 	// scarce.
 	allowance   float64
-	remoteUsage map[ids.HostGroup]*Usage
+	remoteUsage map[ids.HostGroup]*groupUsage
 	// lastRetryAt is the time at which the last rejected caller was told to retry.
 	lastRetryAt      time.Time
 	reportedAdmitted uint64
@@ -128,6 +128,26 @@
 	unsynced bool
 }
 
+// groupUsage is the last report of a workspace's usage by a group.
+type groupUsage struct {
+	Usage
+	at time.Time
+	// rate is a moving average of the requests that the group admitted per second.
+	rate float64
+	// replaced is set if another host reports on the group since, whose counts start anew.
+	replaced bool
+}
+
+// update takes in a further report of the same host.
+func (g *groupUsage) update(u Usage, now time.Time) (admitted float64) {
+	admitted = max(float64(int64(u.Admitted-g.Admitted)), 0)
+	if elapsed := now.Sub(g.at).Seconds(); elapsed > 0 {
+		g.rate += (admitted/elapsed - g.rate) * min(elapsed/demandWindow.Seconds(), 1)
+	}
+	g.Usage, g.at = u, now
+	return admitted
+}
+
 // demand is a moving average in requests per second.
 type demand struct {
 	rate float64
@@ -147,6 +167,36 @@
 	d.at = now
 }
 
+// Hosts returns the number of hosts that share the limits, and of those that this one counts as
+// reachable, itself included. The reachable ones admit their part of a limit together.
+func (t *Throttler) Hosts() (all, reachable int) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all, reachable, _ = t.countHosts(now)
+	return all, reachable
+}
+
+// countHosts is Hosts for a caller that holds the lock. isolated means that this host hears no
+// other.
+func (t *Throttler) countHosts(now time.Time) (all, reachable int, isolated bool) {
+	all, reachable, isolated = 1, 1, true
+	if t.HostCount != nil {
+		all = max(t.HostCount(), 1)
+	}
+	for _, h := range t.groups {
+		age := now.Sub(h.heardAt)
+		if age < maxMissedMessages*t.effectiveDelay() {
+			reachable += h.hosts
+		}
+		isolated = isolated && age > t.effectiveIsolationTimeout()
+	}
+	if isolated {
+		reachable = 1 // Does not wait for maxMissedMessages.
+	}
+	return all, reachable, isolated
+}
+
 // SetPropagationDelay sets the maximum age of what hosts receive from each other, and
 // the time without any message after which a host is isolated. The latter is raised to
 // at least isolationDelayFactor delays.
@@ -189,22 +239,7 @@
 // localLimit returns the part of w's limit for this host and those that it hears. The
 // caller holds the lock.
 func (t *Throttler) localLimit(w *router.Workspace, now time.Time) localLimit {
-	hosts := 1
-	if t.HostCount != nil {
-		hosts = max(t.HostCount(), 1)
-	}
-	reachable := 1
-	isolated := true
-	for _, h := range t.groups {
-		age := now.Sub(h.heardAt)
-		if age < maxMissedMessages*t.effectiveDelay() {
-			reachable += h.hosts
-		}
-		isolated = isolated && age > t.effectiveIsolationTimeout()
-	}
-	if isolated {
-		reachable = 1 // Does not wait for maxMissedMessages.
-	}
+	hosts, reachable, isolated := t.countHosts(now)
 	fraction := min(float64(reachable)/float64(hosts), 1)
 	l := localLimit{rate: w.Rate * fraction, burst: max(w.Burst*fraction, 1), fraction: fraction, isolated: isolated}
 	if t.Tolerance != nil {
@@ -246,7 +281,7 @@
 // that start together share the start tokens; if there is less than one for each, a
 // random part of the hosts gets one.
 func newBucket(l localLimit, now time.Time) *bucket {
-	b := &bucket{at: now, remoteUsage: make(map[ids.HostGroup]*Usage), unsynced: true}
+	b := &bucket{at: now, remoteUsage: make(map[ids.HostGroup]*groupUsage), unsynced: true}
 	if rand.Float64() < l.startTokens*l.fraction {
 		b.tokens, b.allowance = 1, 1
 	}
@@ -287,7 +322,7 @@
 	l := t.localLimit(w, now)
 	b := t.bucket(HashWorkspace(w.Name), l, now)
 	b.demand.add(now)
-	if t.hasToken(b, l) {
+	if t.hasToken(b, l, now) {
 		b.tokens--
 		b.allowance = max(b.allowance-1, 0)
 		b.admitted++
@@ -311,13 +346,26 @@
 	}
 	l, refilled := t.localLimit(w, now), *b
 	refilled.refill(l, now)
-	return t.hasToken(&refilled, l), true
+	return t.hasToken(&refilled, l, now), true
 }
 
 // hasToken reports whether a refilled bucket allows one more request. The caller holds the lock.
-func (t *Throttler) hasToken(b *bucket, l localLimit) bool {
-	scarce := b.tokens < l.burst*t.scarcityLevel()
-	return b.tokens >= 1 && (!scarce || b.allowance >= 1)
+func (t *Throttler) hasToken(b *bucket, l localLimit, now time.Time) bool {
+	tokens := b.tokens - t.unreported(b, now)
+	scarce := tokens < l.burst*t.scarcityLevel()
+	return tokens >= 1 && (!scarce || b.allowance >= 1)
+}
+
+// unreported estimates what groups whose reports are overdue have admitted since: they go on at
+// their rate until they no longer count as reachable. The caller holds the lock.
+func (t *Throttler) unreported(b *bucket, now time.Time) float64 {
+	delay := t.effectiveDelay()
+	total := 0.0
+	for _, g := range b.remoteUsage {
+		overdue := min(now.Sub(g.at)-delay, (maxMissedMessages-1)*delay)
+		total += g.rate * max(overdue, 0).Seconds()
+	}
+	return total
 }
 
 // nextRetryAfter returns a retry delay of its own for each rejected caller, spaced at
@@ -367,13 +415,12 @@
 	}
 	last, known := t.groups[r.Group]
 	if known && last.source != r.Source {
-		t.resetGroup(r.Group)
-		known = false
+		t.replaceSource(r.Group, now)
 	}
 	t.groups[r.Group] = groupState{r.Source, r.Hosts, now}
 	for _, u := range r.Usages {
 		if b := t.buckets[u.Workspace]; b != nil {
-			b.merge(r.Group, u, known)
+			b.merge(r.Group, u, known, now)
 		}
 	}
 	t.expireGroups(now)
@@ -382,20 +429,33 @@
 // merge subtracts the requests that a group admitted since its last report. In the
 // first report of this workspace from a known group, only what the reported demand
 // explains counts as recent.
-func (b *bucket) merge(group ids.HostGroup, u Usage, known bool) {
-	last := b.remoteUsage[group]
+func (b *bucket) merge(group ids.HostGroup, u Usage, known bool, now time.Time) {
+	g := b.remoteUsage[group]
 	switch {
-	case last != nil:
-		if admitted := int64(u.Admitted - last.Admitted); admitted > 0 {
-			b.tokens -= float64(admitted)
+	case g == nil:
+		if known {
+			b.tokens -= min(float64(max(int64(u.Admitted), 0)), u.Demand+1)
+		}
+		b.remoteUsage[group] = &groupUsage{Usage: u, at: now}
+	case g.replaced:
+		g.Usage, g.at, g.replaced = u, now, false
+	default:
+		b.tokens -= g.update(u, now)
+	}
+}
+
+// replaceSource takes in that another host reports on a group from now on. Its counts tell nothing
+// of the time since the last report, in which the group went on at its rate.
+func (t *Throttler) replaceSource(group ids.HostGroup, now time.Time) {
+	for _, b := range t.buckets {
+		if g := b.remoteUsage[group]; g != nil {
+			b.tokens -= g.rate * min(now.Sub(g.at), maxMissedMessages*t.effectiveDelay()).Seconds()
+			g.at, g.replaced = now, true
 		}
-	case known:
-		b.tokens -= min(float64(max(int64(u.Admitted), 0)), u.Demand+1)
 	}
-	b.remoteUsage[group] = &u
 }
 
-// resetGroup drops the counts of a group that another host reports on from now on.
+// resetGroup drops the counts of a group.
 func (t *Throttler) resetGroup(group ids.HostGroup) {
 	for _, b := range t.buckets {
 		delete(b.remoteUsage, group)
--- a/pkg/throttler/throttler_test.go
+++ b/pkg/throttler/throttler_test.go
@@ -376,3 +376,48 @@
 		}
 	}
 }
+
+// Guards against a group whose usage is not counted while another host begins to report on it, as
+// when the leader of its zone stops: what it admits meanwhile must not be admitted here too.
+func TestUsageGoesOnBetweenReports(t *testing.T) {
+	const (
+		delay    = 600 * time.Millisecond
+		interval = 400 * time.Millisecond
+		rate     = 100
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &router.Workspace{Name: "w", Rate: rate, Burst: rate / 2}
+		h := &throttler.Throttler{HostCount: func() int { return 2 }}
+		h.SetPropagationDelay(delay, 2*delay)
+		admitted, usage := 0, throttler.Usage{Workspace: throttler.HashWorkspace("w"), Demand: rate}
+		// run lets callers send twice the rate for a time, of which the group gets one half.
+		run := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(step) {
+				if _, ok := h.Admit(w); ok {
+					admitted++
+				}
+			}
+			usage.Admitted += uint64(rate / 2 * d.Seconds())
+		}
+		report := func(source ids.Instance) {
+			h.Merge(throttler.RemoteUsage{Group: "zone", Source: source, Hosts: 1, Usages: []throttler.Usage{usage}})
+		}
+		report("a")
+		for range 20 {
+			run(interval)
+			report("a")
+		}
+		const gap = 1200 * time.Millisecond
+		admitted = 0
+		run(gap)
+		usage.Admitted = 7 // the next source counts from another value
+		for range 2 {
+			report("b")
+			run(interval)
+		}
+		t.Logf("admitted %d", admitted)
+		const share = rate / 2
+		is.True(float64(admitted) <= 1.2*share*(gap+2*interval).Seconds())
+	})
+}
