A host that stops stays registered until it admits no more requests

Cause: a host ended its registration at SIGTERM and admitted requests for 2.5 s more. The others dropped its messages and divided the rate without it; it heard nobody, and took a part of the rate for itself.

Change: gatewayhost tells when it rejects (Rejecting), the daemon ends the registration then. Look-ups leave the host out as before, as its messages say that it is not ready. The metrics rates.hosts and rates.reachable, and the line "sharing of rates changed", show by how many hosts a host divides. The stop of a host has a file of its own.

--- a/service/gatewayhost/host.go
+++ b/service/gatewayhost/host.go
@@ -45,18 +45,6 @@
 	confirmationMargin = 600 * time.Millisecond
 	// upkeepInterval is the time between two rounds of upkeep.
 	upkeepInterval = 100 * time.Millisecond
-	// acceptDuration is how long a draining host accepts new requests, so that callers
-	// can look up other hosts in the meantime. At most half of the grace period is used.
-	acceptDuration = 2500 * time.Millisecond
-	// pipelineDuration is how long it accepts requests on connections on which others are in
-	// progress. Callers that never pause are then sent to other hosts. At most half of the time
-	// that it accepts requests is used.
-	pipelineDuration = time.Second
-	// exitMargin is the part of the grace period that is left for the process to exit.
-	exitMargin = 500 * time.Millisecond
-	// finalDuration is the part of exitMargin in which callers get the responses of requests that
-	// were cancelled at the end of the grace period, and those behind them.
-	finalDuration = 200 * time.Millisecond
 	// maxSavedRetries bounds the unused retries to a service that all hosts together
 	// save up.
 	maxSavedRetries = 40
@@ -144,21 +132,27 @@
 	server      *pipeliner.Server
 	recorder    *recorder
 	loads       loadRecorder
+	rateSharing rateSharing
 	memory      *reserver.Reserver
 	apportioner apportioner
 	metrics     collector.Collector
 	broadcaster *siblings.Broadcaster
 	draining    atomic.Bool
+	rejecting   chan struct{}
 	cancel      context.CancelFunc
 	background  sync.WaitGroup
 }
 
 // New returns a Host that is not started.
 func New(cfg Config) *Host {
-	h := &Host{cfg: cfg, log: logflags.Logger(logflags.EntryHost), lister: &lister.Lister{}, memory: reserver.New(cfg.BufferBytes)}
+	h := &Host{
+		cfg: cfg, log: logflags.Logger(logflags.EntryHost), lister: &lister.Lister{}, memory: reserver.New(cfg.BufferBytes),
+		rejecting: make(chan struct{}),
+	}
 	h.bounds.Store(&cfg.Bounds)
 	h.recorder = newRecorder(&h.metrics)
 	h.loads.log, h.loads.metrics = h.log, &h.metrics
+	h.rateSharing.log, h.rateSharing.throttler = h.log, &h.throttler
 	h.balancer = balancer.New(balancer.Config{
 		Zone: cfg.Self.Zone, Regions: cfg.Regions, OnLimitHeard: h.recorder.limits.heard,
 		OnLimitedPick: func(s ids.Service) { h.throttler.CountDemand(throttler.HashService(s)) },
@@ -196,7 +190,8 @@
 	return h
 }
 
-// registerGauges adds the traffic between hosts and the memory for buffers to the metrics.
+// registerGauges adds the traffic between hosts, the memory for buffers, the responses that were
+// cut and the hosts that share rates to the metrics.
 func (h *Host) registerGauges() {
 	traffic := h.broadcaster.Traffic()
 	h.metrics.Gauge("siblings.messages", traffic.Messages.Load)
@@ -205,6 +200,14 @@
 	h.metrics.Gauge("siblings.bytes.far", traffic.InterRegionBytes.Load)
 	h.metrics.Gauge("memory.reservedBytes", h.memory.Used)
 	h.metrics.Gauge("callers.cutResponses", func() int64 { return h.server.Cut() })
+	h.metrics.Gauge("rates.hosts", func() int64 {
+		all, _ := h.throttler.Hosts()
+		return int64(all)
+	})
+	h.metrics.Gauge("rates.reachable", func() int64 {
+		_, reachable := h.throttler.Hosts()
+		return int64(reachable)
+	})
 }
 
 // instances returns the hosts that accept callers.
@@ -286,6 +289,7 @@
 			h.lister.SetUnavailable(h.broadcaster.Unavailable())
 			h.recorder.limits.flush(time.Now())
 			h.loads.record(h.balancer.Loads())
+			h.rateSharing.record()
 		case <-ctx.Done():
 			return
 		}
@@ -349,48 +353,6 @@
 // Lister returns the list of entry hosts that look-ups are answered from.
 func (h *Host) Lister() *lister.Lister { return h.lister }
 
-// Stop shuts the host down gracefully and returns when it is done: callers are sent to
-// other hosts, requests in progress are finished, and those still running at the end of
-// the grace period are cancelled. It may be called once, after Start.
-func (h *Host) Stop() {
-	h.log.Info("leaving")
-	grace := h.bounds.Load().GracePeriod - exitMargin
-	deadline := time.Now().Add(grace)
-	h.draining.Store(true)
-	h.lister.SetSelf(h.cfg.Self, false)
-	h.server.DisableKeepAlives()
-	accept := min(acceptDuration, grace/2)
-	pipeline := min(pipelineDuration, accept/2)
-	time.Sleep(pipeline)
-	h.server.DisablePipelining()
-	time.Sleep(accept - pipeline)
-	h.handler.RejectRequests()
-	err := h.drain(deadline)
-	h.server.Close()
-	h.cancel()
-	_ = h.cfg.Conn.Close() // the process exits next
-	h.background.Wait()
-	h.sender.Close()
-	h.relayer.sender.Close()
-	h.log.WithFields(log.Fields{"clean": err == nil, "cut": h.server.Cut()}).Info("stopped")
-}
-
-// drain waits until no request is in progress. It cancels those that still are at deadline, and
-// returns an error then.
-func (h *Host) drain(deadline time.Time) error {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	err := errors.Join(h.server.Drain(ctx), h.handler.DrainRelayed(ctx))
-	if err == nil {
-		return nil
-	}
-	h.server.CancelRequests()
-	ctx, cancelFinal := context.WithTimeout(context.Background(), finalDuration)
-	defer cancelFinal()
-	_ = h.server.Drain(ctx) // what is left is counted as cut
-	return err
-}
-
 // Self returns the registration of this host.
 func (h *Host) Self() lister.Host { return h.cfg.Self }
 
