--- a/pkg/pipeliner/conn.go
+++ b/pkg/pipeliner/conn.go
@@ -73,7 +73,7 @@
 			return false
 		}
 		a, number := c.state.beginRequest(ex.r.Close)
-		if a == begun {
+		if a == admitted {
 			ex.number = number
 			return true
 		}
--- a/pkg/pipeliner/connstate.go
+++ b/pkg/pipeliner/connstate.go
@@ -51,8 +51,8 @@
 type admission int
 
 const (
-	// begun means that the request has begun, and is due.
-	begun admission = iota
+	// admitted means that the request has begun, and is due.
+	admitted admission = iota
 	// delayed means that the request must not begin before the earlier responses are written.
 	delayed
 	// dropped means that the request must not begin, as an earlier response closes the connection.
@@ -78,7 +78,7 @@
 	s.due++
 	s.begun++
 	s.closing = last
-	return begun, s.begun
+	return admitted, s.begun
 }
 
 // hold keeps further requests from beginning while responses are due, until release. It reports
--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -361,13 +361,22 @@
 func (t *Throttler) unreported(b *bucket, now time.Time) float64 {
 	delay := t.effectiveDelay()
 	total := 0.0
-	for _, g := range b.remoteUsage {
+	for group, g := range b.remoteUsage {
+		if t.isIdle(group, g) {
+			continue
+		}
 		overdue := min(now.Sub(g.at)-delay, (maxMissedMessages-1)*delay)
 		total += g.rate * max(overdue, 0).Seconds()
 	}
 	return total
 }
 
+// isIdle reports whether the last report of a group left the workspace out, as nothing was admitted.
+// The caller holds the lock.
+func (t *Throttler) isIdle(group ids.HostGroup, g *groupUsage) bool {
+	return g.at.Before(t.groups[group].heardAt)
+}
+
 // nextRetryAfter returns a retry delay of its own for each rejected caller, spaced at
 // this host's share of the rate. The caller holds the lock.
 func (b *bucket) nextRetryAfter(l localLimit, now time.Time) time.Duration {
@@ -448,7 +457,12 @@
 // of the time since the last report, in which the group went on at its rate.
 func (t *Throttler) replaceSource(group ids.HostGroup, now time.Time) {
 	for _, b := range t.buckets {
-		if g := b.remoteUsage[group]; g != nil {
+		g := b.remoteUsage[group]
+		switch {
+		case g == nil:
+		case t.isIdle(group, g):
+			delete(b.remoteUsage, group)
+		default:
 			b.tokens -= g.rate * min(now.Sub(g.at), maxMissedMessages*t.effectiveDelay()).Seconds()
 			g.at, g.replaced = now, true
 		}
--- a/pkg/throttler/throttler_test.go
+++ b/pkg/throttler/throttler_test.go
@@ -421,3 +421,33 @@
 		is.True(float64(admitted) <= 1.2*share*(gap+2*interval).Seconds())
 	})
 }
+
+// Guards against an estimate for a group that has nothing to report any more, which would take away
+// from the rate for good.
+func TestNothingIsEstimatedForIdleGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &router.Workspace{Name: "w", Rate: 20, Burst: 20}
+		h := &throttler.Throttler{HostCount: func() int { return 2 }}
+		h.Prepare(w)
+		usage := throttler.Usage{Workspace: throttler.HashWorkspace("w"), Demand: 20}
+		for range 10 {
+			h.Merge(throttler.RemoteUsage{Group: "zone", Source: "a", Hosts: 1, Usages: []throttler.Usage{usage}})
+			time.Sleep(100 * time.Millisecond)
+			usage.Admitted += 2
+		}
+		for range 50 {
+			h.Merge(throttler.RemoteUsage{Group: "zone", Source: "a", Hosts: 1})
+			time.Sleep(100 * time.Millisecond)
+		}
+		admitted := 0
+		for range 2 * int(w.Burst) {
+			if _, ok := h.Admit(w); ok {
+				admitted++
+			}
+		}
+		t.Logf("admitted %d of a burst of %.0f", admitted, w.Burst)
+		const scarce = 0.6
+		is.True(float64(admitted) >= (1-scarce)*w.Burst-1) // down to the level at which shares count
+	})
+}
