--- a/service/gateway/exchange.go
+++ b/service/gateway/exchange.go
@@ -95,13 +95,7 @@
 	res.outcome.Answered = res.resp.StatusCode < http.StatusInternalServerError
 	res.outcome.Failed = !res.outcome.Answered
 	res.usable = true
-	more, err := res.resp.ContentLength > maxBufferedBytes, error(nil)
-	if !more {
-		more, err = q.bufferBody(res, maxBufferedBytes)
-	}
-	if more && err == nil {
-		more, err = q.bufferPipelined(res)
-	}
+	more, err := q.buffer(res)
 	res.outcome.ResponseKiB = float64(len(res.body)) / 1024
 	switch {
 	case err != nil:
@@ -114,6 +108,17 @@
 	return res
 }
 
+// buffer reads as much of a response as is kept before it is passed on. It returns more if that is
+// not all.
+func (q *request) buffer(res *result) (more bool, err error) {
+	if res.resp.ContentLength <= maxBufferedBytes {
+		if more, err = q.bufferBody(res, maxBufferedBytes); !more {
+			return false, err
+		}
+	}
+	return q.bufferPipelined(res)
+}
+
 // failure classifies an attempt that got no response.
 func (q *request) failure(ctx context.Context, wrote bool) *result {
 	res := &result{notRun: !wrote, reason: "noAnswer"}
