pkg/throttler: a group that is silent is charged once, not until it is forgotten

Workspaces with a small burst would have got nothing for some 10 s after a host had stopped or died: what it was estimated to admit stayed off their tokens until it was forgotten, though its part of the limit was left out as well.

Evidence: TestNothingIsEstimatedForSilentGroup, 0 requests in a second before this change, 69 with it (a rate of 100, a burst of 10, the other host gone).

Change: when a group no longer counts as reachable, the estimate is taken off once; a report that comes later is settled against it.

--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -136,6 +136,17 @@
 	rate float64
 	// replaced is set if another host reports on the group since, whose counts start anew.
 	replaced bool
+	// silent is set once the group no longer counts as reachable, and charged is what was taken off
+	// then for the time before.
+	silent  bool
+	charged float64
+}
+
+// takeCharge returns what was taken off since the last report, and resets it.
+func (g *groupUsage) takeCharge() float64 {
+	charged := g.charged
+	g.silent, g.charged = false, 0
+	return charged
 }
 
 // update takes in a further report of the same host.
@@ -261,9 +272,23 @@
 		t.buckets[hash] = b
 	}
 	b.refill(l, now)
+	t.chargeSilent(b, now)
 	return b
 }
 
+// chargeSilent takes off once what groups that no longer count as reachable have admitted at their
+// rate until then. The caller holds the lock.
+func (t *Throttler) chargeSilent(b *bucket, now time.Time) {
+	delay := t.effectiveDelay()
+	for group, g := range b.remoteUsage {
+		if g.silent || now.Sub(g.at) < maxMissedMessages*delay || t.isIdle(group, g) {
+			continue
+		}
+		g.silent, g.charged = true, g.rate*((maxMissedMessages-1)*delay).Seconds()
+		b.tokens -= g.charged
+	}
+}
+
 // refill brings the bucket up to now. The caller holds the lock.
 func (b *bucket) refill(l localLimit, now time.Time) {
 	if b.unsynced && !l.isolated {
@@ -344,6 +369,7 @@
 	if b == nil {
 		return false, false
 	}
+	t.chargeSilent(b, now)
 	l, refilled := t.localLimit(w, now), *b
 	refilled.refill(l, now)
 	return t.hasToken(&refilled, l, now), true
@@ -357,16 +383,17 @@
 }
 
 // unreported estimates what groups whose reports are overdue have admitted since: they go on at
-// their rate until they no longer count as reachable. The caller holds the lock.
+// their rate. Once they no longer count as reachable, their part of the limit is left out instead,
+// and chargeSilent has taken off the time before. The caller holds the lock.
 func (t *Throttler) unreported(b *bucket, now time.Time) float64 {
 	delay := t.effectiveDelay()
 	total := 0.0
 	for group, g := range b.remoteUsage {
-		if t.isIdle(group, g) {
+		age := now.Sub(g.at)
+		if age <= delay || g.silent || t.isIdle(group, g) {
 			continue
 		}
-		overdue := min(now.Sub(g.at)-delay, (maxMissedMessages-1)*delay)
-		total += g.rate * max(overdue, 0).Seconds()
+		total += g.rate * (age - delay).Seconds()
 	}
 	return total
 }
@@ -449,7 +476,7 @@
 	case g.replaced:
 		g.Usage, g.at, g.replaced = u, now, false
 	default:
-		b.tokens -= g.update(u, now)
+		b.tokens -= g.update(u, now) - g.takeCharge()
 	}
 }
 
@@ -463,7 +490,7 @@
 		case t.isIdle(group, g):
 			delete(b.remoteUsage, group)
 		default:
-			b.tokens -= g.rate * min(now.Sub(g.at), maxMissedMessages*t.effectiveDelay()).Seconds()
+			b.tokens -= g.rate*min(now.Sub(g.at), maxMissedMessages*t.effectiveDelay()).Seconds() - g.takeCharge()
 			g.at, g.replaced = now, true
 		}
 	}
--- a/pkg/throttler/throttler_test.go
+++ b/pkg/throttler/throttler_test.go
@@ -451,3 +451,32 @@
 		is.True(float64(admitted) >= (1-scarce)*w.Burst-1) // down to the level at which shares count
 	})
 }
+
+// Guards against an estimate for a host that is gone, which would keep a workspace with a small
+// burst out until the host is forgotten.
+func TestNothingIsEstimatedForSilentGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		hosts := 2
+		w := &router.Workspace{Name: "w", Rate: 100, Burst: 10}
+		h := &throttler.Throttler{HostCount: func() int { return hosts }}
+		h.Prepare(w)
+		usage := throttler.Usage{Workspace: throttler.HashWorkspace("w"), Demand: 100}
+		for range 20 {
+			h.Merge(throttler.RemoteUsage{Group: "h2", Source: "h2", Hosts: 1, Usages: []throttler.Usage{usage}})
+			time.Sleep(100 * time.Millisecond)
+			usage.Admitted += 10
+		}
+		time.Sleep(time.Second)
+		hosts = 1 // its registration has lapsed
+		admitted := 0
+		for range 200 {
+			if _, ok := h.Admit(w); ok {
+				admitted++
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		t.Logf("admitted %d in a second", admitted)
+		is.True(admitted >= 50)
+	})
+}
