pkg/pipeliner: tests that release requests in turn share the check of their responses

Three tests had the same loop. The shared one is as strict: each response, its body, and that only the last one closes; with a server that closes with an earlier one all three still fail.

--- a/pkg/pipeliner/close_test.go
+++ b/pkg/pipeliner/close_test.go
@@ -63,6 +63,19 @@
 	}
 }
 
+// expectInTurn releases requests one after the other, and checks that each gets its response and that
+// only the last one closes the connection.
+func (g *gate) expectInTurn(t *testing.T, br *bufio.Reader, paths ...string) {
+	t.Helper()
+	is := is.New(t)
+	for i, path := range paths {
+		g.open(path)
+		resp, body := readResponse(t, br)
+		is.Equal(body, path)
+		is.Equal(resp.Close, i == len(paths)-1)
+	}
+}
+
 // Guards against a response that closes the connection although requests behind it are in
 // progress: a handler may ask for the close at any time, the last response that is due brings it.
 func TestLastDueResponseCloses(t *testing.T) {
@@ -76,12 +89,7 @@
 		write(t, c, get("/1")+get("/2")+get("/3"))
 		g.waitBegun(3)
 		br := bufio.NewReader(c)
-		for _, path := range []string{"/1", "/2", "/3"} {
-			g.open(path)
-			resp, body := readResponse(t, br)
-			is.Equal(body, path)
-			is.Equal(resp.Close, path == "/3")
-		}
+		g.expectInTurn(t, br, "/1", "/2", "/3")
 		_, err := br.ReadByte()
 		is.Equal(err, io.EOF)
 	})
@@ -126,12 +134,7 @@
 		write(t, c, get("/3")+"POST /4 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab")
 		time.Sleep(20 * time.Millisecond) // both have come
 		br := bufio.NewReader(c)
-		for _, path := range []string{"/1", "/2"} {
-			g.open(path)
-			resp, body := readResponse(t, br)
-			is.Equal(body, path)
-			is.Equal(resp.Close, path == "/2")
-		}
+		g.expectInTurn(t, br, "/1", "/2")
 		_, err := br.ReadByte()
 		is.Equal(err, io.EOF)
 		is.Equal(g.began.Load(), int64(2))
@@ -213,12 +216,7 @@
 		g.waitBegun(2)
 		time.Sleep(20 * time.Millisecond) // the third one has come
 		br := bufio.NewReader(c)
-		for _, path := range []string{"/1", "/2"} {
-			g.open(path)
-			resp, body := readResponse(t, br)
-			is.Equal(body, path)
-			is.Equal(resp.Close, path == "/2")
-		}
+		g.expectInTurn(t, br, "/1", "/2")
 		is.Equal(g.began.Load(), int64(2))
 	})
 }
