--- a/review/stage3/client.go
+++ b/review/stage3/client.go
@@ -19,6 +19,7 @@
 	id, key, host, path string
 	sentAt              time.Time
 	status              int
+	body                string
 	err                 error
 	took                time.Duration
 }
@@ -53,8 +54,10 @@
 	c.rec.note("client sends %s with key %s to %s: %s %s", a.id, key, a.host, method, path)
 	resp, err := client.Do(r)
 	if err == nil {
-		_, err = io.Copy(io.Discard, resp.Body)
+		var text []byte
+		text, err = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
+		a.body = string(text)
 		a.status = resp.StatusCode
 	}
 	a.err, a.took = err, time.Since(a.sentAt)
--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -24,7 +24,8 @@
 // scripts maps the names of the cases to their scripts. A script gets whether the disruption is
 // to happen, and returns errBroken if the rule was broken.
 var scripts = map[string]func(rec *recorder, trouble bool) error{
-	"drill": playDrill,
+	"drill":  playDrill,
+	"second": playSecond,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
--- a/review/stage3/target.go
+++ b/review/stage3/target.go
@@ -24,6 +24,8 @@
 	id, service, zone, address string
 	fleet                      *fleet
 	work                       time.Duration
+	// faulty makes the target send some second answers.
+	faulty bool
 
 	mu    sync.Mutex
 	seq   int
@@ -39,6 +41,12 @@
 	if t.address, err = f.serve(t); err != nil {
 		return nil, err
 	}
+	t.keepRegistered()
+	return t, nil
+}
+
+// keepRegistered writes the target's entry at each heartbeat until the fleet is closed.
+func (t *target) keepRegistered() {
 	t.register()
 	go func() {
 		for {
@@ -50,8 +58,7 @@
 			}
 		}
 	}()
-	f.closed = append(f.closed, func() { close(t.quit) })
-	return t, nil
+	t.fleet.closed = append(t.fleet.closed, func() { close(t.quit) })
 }
 
 // register writes the target's entry.
@@ -69,6 +76,12 @@
 	t.fleet.store.Put("servers/"+t.id, string(text))
 }
 
+// answerTo returns the only valid body of an answer to a request.
+func answerTo(id, path string, body []byte) string {
+	sum := sha256.Sum256(body)
+	return fmt.Sprintf("%s %s %s\n", id, path, hex.EncodeToString(sum[:]))
+}
+
 // ServeHTTP runs requests. It answers with the hash of what it got.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
@@ -91,9 +104,8 @@
 	t.mu.Unlock()
 	t.fleet.rec.note("target %s runs %s for tenant %q: %s %s", t.id, id, r.Header.Get("Tenant"), r.Method, r.URL.Path)
 	time.Sleep(t.work)
-	sum := sha256.Sum256(body)
 	w.Header().Set("Server-Stamp", "stamp."+t.id)
-	_, _ = fmt.Fprintf(w, "%s %s %s\n", id, r.URL.Path, hex.EncodeToString(sum[:])) // the caller may be gone
+	_, _ = io.WriteString(w, answerTo(id, r.URL.Path, body)) // the caller may be gone
 }
 
 // allRuns returns what the targets ran.
