--- a/review/stage3/client.go
+++ b/review/stage3/client.go
@@ -32,11 +32,16 @@
 	all []call
 }
 
-// send sends one request on a connection of its own and records the outcome.
-func (c *calls) send(h *host, method, path, key string, body []byte, deadline time.Duration) call {
+// newID returns an ID for a client attempt.
+func newID() string {
 	var raw [8]byte
 	_, _ = rand.Read(raw[:]) // it never fails
-	a := call{id: hex.EncodeToString(raw[:]), key: key, host: h.name, path: path}
+	return hex.EncodeToString(raw[:])
+}
+
+// send sends one request on a connection of its own and records the outcome.
+func (c *calls) send(h *host, method, path, key string, body []byte, deadline time.Duration) call {
+	a := call{id: newID(), key: key, host: h.name, path: path}
 	client := http.Client{Timeout: deadline, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	r, err := http.NewRequestWithContext(context.Background(), method, "http://"+h.callers+path, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -25,6 +25,7 @@
 // to happen, and returns errBroken if the rule was broken.
 var scripts = map[string]func(rec *recorder, trouble bool) error{
 	"drill":  playDrill,
+	"early":  playEarly,
 	"second": playSecond,
 }
 
--- a/review/stage3/second.go
+++ b/review/stage3/second.go
@@ -68,8 +68,8 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp.%s\r\nContent-Length: %d\r\n\r\n%s", id, t.id, len(text), text), n
 }
 
-// listenRaw makes the target accept connections until the fleet is closed.
-func (t *target) listenRaw() error {
+// listenRaw makes the target accept connections, which serve serves, until the fleet is closed.
+func (t *target) listenRaw(serve func(net.Conn)) error {
 	l, err := listen("127.0.0.1:0")
 	if err != nil {
 		return err
@@ -87,7 +87,7 @@
 			open[nc] = true
 			mu.Unlock()
 			go func() {
-				t.serveConn(nc)
+				serve(nc)
 				mu.Lock()
 				defer mu.Unlock()
 				delete(open, nc)
@@ -120,7 +120,7 @@
 			id: fmt.Sprintf("i-till%d", i), service: "till", zone: zones[i%len(zones)].name, fleet: f, work: 100 * time.Millisecond,
 			state: "ready", quit: make(chan struct{}), faulty: trouble && i < 3,
 		}
-		if err := t.listenRaw(); err != nil {
+		if err := t.listenRaw(t.serveConn); err != nil {
 			return err
 		}
 		t.keepRegistered()
