--- a/review/stage3/client.go
+++ b/review/stage3/client.go
@@ -40,7 +40,7 @@
 }
 
 // send sends one request on a connection of its own and records the outcome.
-func (c *calls) send(h *host, method, path, key string, body []byte, deadline time.Duration) call {
+func (c *calls) send(h *host, method, path, key string, body []byte, deadline time.Duration) {
 	a := call{id: newID(), key: key, host: h.name, path: path}
 	client := http.Client{Timeout: deadline, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	r, err := http.NewRequestWithContext(context.Background(), method, "http://"+h.callers+path, io.NopCloser(bytes.NewReader(body)))
@@ -70,5 +70,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.all = append(c.all, a)
-	return a
+
 }
--- a/review/stage3/fleet.go
+++ b/review/stage3/fleet.go
@@ -20,13 +20,8 @@
 	"gypsumbeam.example/gypsumbeam/platform/kvstore"
 )
 
-// Bounds of the deployment, those of the site crestline-lb.
-const (
-	revokeBound = 5 * time.Second
-	drainBound  = 2 * time.Second
-	applyBound  = 2 * time.Second
-	heartbeat   = 1500 * time.Millisecond
-)
+// heartbeat is the time between two writes of a target to the store.
+const heartbeat = 1500 * time.Millisecond
 
 // zone is an availability zone with its region.
 type zone struct{ name, region string }
@@ -173,20 +168,6 @@
 	return nil
 }
 
-// signal sends a signal to the process of a host.
-func (f *fleet) signal(h *host, s syscall.Signal) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	f.rec.note("host %s gets %v", h.name, s)
-	_ = h.cmd.Process.Signal(s) // it may have ended
-}
-
-// kill kills the process of a host and waits for its end.
-func (f *fleet) kill(h *host) {
-	f.signal(h, syscall.SIGKILL)
-	<-h.exited
-}
-
 // startAll starts hosts and waits until they are ready.
 func (f *fleet) startAll(hosts ...*host) error {
 	for _, h := range hosts {
@@ -226,13 +207,6 @@
 	return fmt.Errorf("host %s is not ready within %v", h.name, within)
 }
 
-// setStoreFaults sets the faults of the store for all hosts.
-func (f *fleet) setStoreFaults(faults kvstore.Faults) {
-	for _, h := range f.hosts {
-		h.endpoint.SetFaults(faults)
-	}
-}
-
 // close ends all processes and servers, and removes the temporary folder.
 func (f *fleet) close() {
 	for _, h := range f.hosts {
--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command stage3 plays the scripts of review/11 to review/15: it starts entry hosts as
+// Command stage3 plays the scripts of review/11 and review/12: it starts entry hosts as
 // processes, stand-ins of the store, the targets and the clients, and checks one rule.
 package main
 
@@ -24,9 +24,9 @@
 // scripts maps the names of the cases to their scripts. A script gets whether the disruption is
 // to happen, and returns errBroken if the rule was broken.
 var scripts = map[string]func(rec *recorder, trouble bool) error{
-	"drill":  playDrill,
-	"early":  playEarly,
-	"second": playSecond,
+	"early":   playEarly,
+	"encoded": playEncoded,
+	"second":  playSecond,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
--- a/review/stage3/target.go
+++ b/review/stage3/target.go
@@ -102,7 +102,7 @@
 	t.mu.Lock()
 	t.runs = append(t.runs, run{time.Now(), id, t.id, r.Header.Get("Tenant"), r.URL.Path})
 	t.mu.Unlock()
-	t.fleet.rec.note("target %s runs %s for tenant %q: %s %s", t.id, id, r.Header.Get("Tenant"), r.Method, r.URL.Path)
+	t.fleet.rec.note("target %s runs %s for tenant %q: %s %s", t.id, id, r.Header.Get("Tenant"), r.Method, r.RequestURI)
 	time.Sleep(t.work)
 	w.Header().Set("Server-Stamp", "stamp."+t.id)
 	_, _ = io.WriteString(w, answerTo(id, r.URL.Path, body)) // the caller may be gone
