--- a/review/stage3/client.go
+++ b/review/stage3/client.go
@@ -70,5 +70,4 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.all = append(c.all, a)
-
 }
