--- a/review/stage3/document.go
+++ b/review/stage3/document.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 )
 
 // document returns a configuration with one route and one tenant that holds the keys.
@@ -24,3 +25,8 @@
 	}
 	return string(text)
 }
+
+// safeDocument returns a configuration like document's, whose route may be repeated.
+func safeDocument() string {
+	return strings.ReplaceAll(document(1, "key"), `"kind":"unsafe"`, `"kind":"safe"`)
+}
--- a/review/stage3/early.go
+++ b/review/stage3/early.go
@@ -80,7 +80,7 @@
 // answered with success must reach its target whole.
 func playEarly(rec *recorder, trouble bool) error {
 	const count = 60
-	f, err := newFleet(rec, 3)
+	f, err := newFleet(rec)
 	if err != nil {
 		return err
 	}
--- a/review/stage3/encoded.go
+++ b/review/stage3/encoded.go
@@ -36,7 +36,7 @@
 // them, and only those with a key.
 func playEncoded(rec *recorder, trouble bool) error {
 	const count = 40
-	f, err := newFleet(rec, 3)
+	f, err := newFleet(rec)
 	if err != nil {
 		return err
 	}
--- a/review/stage3/fleet.go
+++ b/review/stage3/fleet.go
@@ -48,15 +48,15 @@
 	exited chan struct{}
 }
 
-// newFleet starts a store, and writes the settings of n hosts, which are not started.
-func newFleet(rec *recorder, n int) (*fleet, error) {
+// newFleet starts a store, and writes the settings of a host for each zone, which are not started.
+func newFleet(rec *recorder) (*fleet, error) {
 	folder, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{folder: folder, rec: rec, store: &kvstore.Store{}}
-	for i := range n {
-		h, err := f.newHost(fmt.Sprintf("front-%d", i), zones[i%len(zones)])
+	for i, z := range zones {
+		h, err := f.newHost(fmt.Sprintf("front-%d", i), z)
 		if err != nil {
 			f.close()
 			return nil, err
--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -24,6 +24,7 @@
 // scripts maps the names of the cases to their scripts. A script gets whether the disruption is
 // to happen, and returns errBroken if the rule was broken.
 var scripts = map[string]func(rec *recorder, trouble bool) error{
+	"broken":  playBroken,
 	"early":   playEarly,
 	"encoded": playEncoded,
 	"second":  playSecond,
--- a/review/stage3/second.go
+++ b/review/stage3/second.go
@@ -109,7 +109,7 @@
 // answer that belongs to another request.
 func playSecond(rec *recorder, trouble bool) error {
 	const playFor = 8 * time.Second
-	f, err := newFleet(rec, 3)
+	f, err := newFleet(rec)
 	if err != nil {
 		return err
 	}
