--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -1,14 +1,14 @@
 //go:build review
 
-// Command stage3 plays the scripts of review/11 and review/12: it starts entry hosts as
+// Command stage3 plays the scripts of review/11 to review/14: it starts entry hosts as
 // processes, stand-ins of the store, the targets and the clients, and checks one rule.
 package main
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"os"
-	"path/filepath"
 )
 
 // Exit codes of a script.
@@ -30,20 +30,28 @@
 	"second":  playSecond,
 }
 
-func main() { os.Exit(play(os.Args[1:])) }
+func main() {
+	name := flag.String("case", "", "the case to play")
+	trouble := flag.Bool("trouble", true, "whether the disruption happens")
+	record := flag.String("record", "", "the file to write the record to")
+	flag.Parse()
+	os.Exit(play(*name, *trouble, *record))
+}
 
-// play plays the script NAME with its record in FOLDER.
-func play(args []string) int {
-	if len(args) != 2 || scripts[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stage3 NAME FOLDER")
+// play plays the script of a case and returns the exit code.
+func play(name string, trouble bool, record string) int {
+	script := scripts[name]
+	if script == nil || record == "" {
+		flag.Usage()
 		return exitNotRun
 	}
-	rec, err := newRecorder(filepath.Join(args[1], "record.txt"))
+	rec, err := newRecorder(record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	err = scripts[args[0]](rec, os.Getenv("TROUBLE") != "0")
+	rec.note("case %s, with the disruption: %v", name, trouble)
+	err = script(rec, trouble)
 	rec.note("result: %v", err)
 	if closeErr := rec.close(); closeErr != nil {
 		fmt.Fprintln(os.Stderr, closeErr)
